--- /dev/null
+++ b/event.go
@@ -0,0 +1,217 @@
+package notch
+
+import "time"
+
+// Event is something that happened. Everything the reducer may depend on
+// besides its state is in it.
+type Event struct {
+	At   Time
+	Seed uint64 // the event's share of randomness
+	Body Body
+}
+
+// Body is the kind and the content of an event.
+type Body interface{ body() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// Flush ends a batch of events. Parts that gather work for a batch, such as
+// log entries for one sync, send it off now.
+type Flush struct{}
+
+// MessageReceived is a message from another daemon.
+type MessageReceived struct {
+	From    string
+	Message Message
+}
+
+// PeerDown says that the link to a daemon broke.
+type PeerDown struct{ Name string }
+
+// PeerUp says that the link to a daemon stands, and what it said of itself.
+type PeerUp struct{ Hello Hello }
+
+// Recovered is what the journal held at the start.
+type Recovered struct {
+	Hard     HardState
+	Snapshot *Snapshot
+	Entries  []Entry
+}
+
+// Persisted says that the log is synced up to Index in Term.
+type Persisted struct {
+	Term  uint64
+	Index uint64
+}
+
+// PersistFailed says that the journal refused; nothing more can be synced.
+type PersistFailed struct{ Reason string }
+
+// SnapshotSaved says that the snapshot at Index is synced.
+type SnapshotSaved struct{ Index uint64 }
+
+// ShutdownStarted says that the process was asked to stop gracefully.
+type ShutdownStarted struct{}
+
+// Submitted is a command from a front end of this daemon.
+type Submitted struct {
+	Ticket   uint64
+	Command  Command
+	Deadline Time
+}
+
+// WorkerCalled is a heartbeat that reached this daemon.
+type WorkerCalled struct {
+	Ticket   uint64
+	Beat     Heartbeat
+	Deadline Time
+}
+
+// JobsAsked is a question about jobs that reached this daemon.
+type JobsAsked struct {
+	Ticket   uint64
+	Job      string
+	Deadline Time
+}
+
+// Announced is a backend server's call that reached this daemon.
+type Announced struct{ Server BackendServer }
+
+// Proposal asks consensus to append a command. It is ignored unless leading.
+type Proposal struct {
+	Origin  string
+	Ticket  uint64
+	Command Command
+}
+
+// Committed is an entry that every part now applies.
+type Committed struct{ Entry Entry }
+
+// Restored replaces the replicated state of every part.
+type Restored struct{ Snapshot Snapshot }
+
+// SnapshotTaken is the replicated state of every part.
+type SnapshotTaken struct{ Snapshot Snapshot }
+
+// Applied is the result of a committed command.
+type Applied struct {
+	Origin string
+	Ticket uint64
+	Result Result
+}
+
+// LeaderChanged says who leads, as far as this daemon knows.
+type LeaderChanged struct {
+	Leader string // empty: unknown
+	Term   uint64
+}
+
+// Leadership says whether this replica leads. It is repeated as Contact grows.
+type Leadership struct {
+	Leading bool
+	Term    uint64
+	Ready   Time // when the leader's first entry of the term was committed; zero before
+	Contact Time // a quorum answered a message sent at this instant
+}
+
+// TablesApplied says that a revision of the tables is in force here.
+type TablesApplied struct{ Tables Tables }
+
+// TablesLearned is a revision that the leader told.
+type TablesLearned struct{ Tables Tables }
+
+// ReplicasChanged says who the voters are.
+type ReplicasChanged struct{ Set ReplicaSet }
+
+// ReplicaSeen says that a daemon with a data folder is linked.
+type ReplicaSeen struct{ Replica Replica }
+
+// ServersChanged lists every backend server that is currently announced.
+type ServersChanged struct{ Servers []BackendServer }
+
+// SlotsGranted tells the lanes what this entry may use and until when.
+type SlotsGranted struct {
+	Until   Time
+	Entries int
+	Slots   []Hold
+}
+
+// LaneLoad tells the control loop what the pools of a lane use and want.
+type LaneLoad struct {
+	Lane   int
+	Demand []Demand
+	InUse  []Hold
+}
+
+// RequestArrived is a caller's request that was matched to a route.
+type RequestArrived struct {
+	Request Request
+}
+
+// Request is what the traffic decisions know of a caller's request.
+type Request struct {
+	ID         uint64 // unique in this process
+	Route      Route
+	Kind       string // requests of a kind take about as long
+	Idempotent bool
+	Replayable bool // the body is held, so that it can be sent again
+	Deadline   Time
+}
+
+// AttemptOutcome says how one send of a request ended.
+type AttemptOutcome uint8
+
+// The outcomes of a send.
+const (
+	AttemptOK       AttemptOutcome = iota // a whole answer
+	AttemptNotSent                        // provably nothing reached the backend server
+	AttemptRefused                        // the backend server said that it did not run the request
+	AttemptFailed                         // failed before any part of the answer was passed on
+	AttemptCut                            // failed after a part of the answer was passed on
+	AttemptCanceled                       // the caller went away
+)
+
+// AttemptEnded says how a dispatched attempt ended.
+type AttemptEnded struct {
+	Request uint64
+	Attempt int
+	Server  ServerID
+	Outcome AttemptOutcome
+	Latency time.Duration
+}
+
+// CallerGone says that the caller of a waiting request went away.
+type CallerGone struct{ Request uint64 }
+
+func (Tick) body()            {}
+func (Flush) body()           {}
+func (MessageReceived) body() {}
+func (PeerDown) body()        {}
+func (PeerUp) body()          {}
+func (Recovered) body()       {}
+func (Persisted) body()       {}
+func (PersistFailed) body()   {}
+func (SnapshotSaved) body()   {}
+func (ShutdownStarted) body() {}
+func (Submitted) body()       {}
+func (WorkerCalled) body()    {}
+func (JobsAsked) body()       {}
+func (Announced) body()       {}
+func (Proposal) body()        {}
+func (Committed) body()       {}
+func (Restored) body()        {}
+func (SnapshotTaken) body()   {}
+func (Applied) body()         {}
+func (LeaderChanged) body()   {}
+func (Leadership) body()      {}
+func (TablesApplied) body()   {}
+func (TablesLearned) body()   {}
+func (ReplicasChanged) body() {}
+func (ReplicaSeen) body()     {}
+func (ServersChanged) body()  {}
+func (SlotsGranted) body()    {}
+func (LaneLoad) body()        {}
+func (RequestArrived) body()  {}
+func (AttemptEnded) body()    {}
+func (CallerGone) body()      {}
--- /dev/null
+++ b/job.go
@@ -0,0 +1,176 @@
+package notch
+
+import (
+	"fmt"
+	"time"
+)
+
+// TaskID names a task: the job's id, a slash and the task's index.
+type TaskID string
+
+// NewTaskID returns the id of task index of a job.
+func NewTaskID(job string, index int) TaskID {
+	return TaskID(fmt.Sprintf("%s/%d", job, index))
+}
+
+// Job is a batch job as its team submitted it.
+type Job struct {
+	ID             string
+	Team           string
+	Pool           string // worker pool
+	Kind           string // tasks of one kind behave alike; the key of all history
+	Class          Class
+	Tasks          int
+	Size           Resources     // declared size of each task
+	Expected       time.Duration // declared run time of a task; zero if unknown
+	Checkpointable bool
+	Command        string // passed to the worker unread
+}
+
+// TaskPhase is the state of a task in its life cycle.
+type TaskPhase uint8
+
+// The phases. A task occupies its worker from Placed until it leaves
+// Stopping, because a stop that isn't confirmed may not have happened.
+const (
+	Queued TaskPhase = iota
+	Placed
+	Running
+	Stopping // to be queued again or cancelled once the stop is confirmed
+	Finished
+	Failed
+	Cancelled
+)
+
+var phaseNames = [...]string{"queued", "placed", "running", "stopping", "finished", "failed", "cancelled"}
+
+// String returns the kebab-case name of the phase.
+func (p TaskPhase) String() string { return phaseNames[p] }
+
+// Occupies reports whether a task in phase p holds a reservation.
+func (p TaskPhase) Occupies() bool { return p == Placed || p == Running || p == Stopping }
+
+// Ended reports whether phase p is final.
+func (p TaskPhase) Ended() bool { return p == Finished || p == Failed || p == Cancelled }
+
+// Task is one task of a job and its current attempt.
+type Task struct {
+	ID          TaskID
+	Job         string
+	Phase       TaskPhase
+	Epoch       uint64 // number of the attempt; workers and control refuse older ones
+	Worker      string
+	Incarnation uint64 // of the worker that the attempt was placed on
+	Since       Time   // when the phase was entered, by the proposing leader's clock
+	Seq         uint64 // order of submission
+	Cancel      bool   // cancelled once the stop is confirmed
+	Checkpoint  string // last confirmed checkpoint
+	Evictions   int
+	FailedOn    []string // distinct workers on which an attempt failed
+	Reason      string   // why it ended or waits
+}
+
+// WithPhase returns t in phase p since at.
+func (t Task) WithPhase(p TaskPhase, at Time) Task {
+	t.Phase, t.Since = p, at
+	return t
+}
+
+// WithPlacement returns t placed on w as a new attempt.
+func (t Task) WithPlacement(w Worker, at Time) Task {
+	t.Epoch++
+	t.Worker, t.Incarnation = w.Name, w.Incarnation
+	t.Reason = ""
+	return t.WithPhase(Placed, at)
+}
+
+// WithFailure returns t with worker added to the distinct workers it failed on.
+func (t Task) WithFailure(worker string) Task {
+	for _, w := range t.FailedOn {
+		if w == worker {
+			return t
+		}
+	}
+	t.FailedOn = append(t.FailedOn[:len(t.FailedOn):len(t.FailedOn)], worker)
+	return t
+}
+
+// Worker is a registered task host.
+type Worker struct {
+	Name        string
+	Incarnation uint64
+	Pool        string
+	Domain      string
+	Rack        string
+	Size        Resources
+	Guard       bool      // the agent enforces declared sizes
+	Services    Resources // reserved for latency-critical services on the host
+	Used        Resources // sum over the tasks that occupy it
+	Quarantined bool
+}
+
+// Free returns what is neither reserved for services nor occupied. It may be
+// negative after a registration with a smaller size.
+func (w Worker) Free() Resources { return w.Size.Minus(w.Services).Minus(w.Used) }
+
+// WithUsed returns w with the given occupied amount.
+func (w Worker) WithUsed(r Resources) Worker {
+	w.Used = r
+	return w
+}
+
+// WithQuarantine returns w in or out of quarantine.
+func (w Worker) WithQuarantine(on bool) Worker {
+	w.Quarantined = on
+	return w
+}
+
+// Usage is a worker's report of load, which lags by Age.
+type Usage struct {
+	Age      time.Duration
+	Load     Resources // measured use of tasks and services together
+	Pressure float64   // how far the services' latency exceeds its target: 0 is none, 1 is twice the target
+}
+
+// TaskReportKind says what a worker reports about an attempt.
+type TaskReportKind string
+
+// The kinds of report.
+const (
+	ReportRunning    TaskReportKind = "running"
+	ReportFinished   TaskReportKind = "finished"
+	ReportFailed     TaskReportKind = "failed"
+	ReportStopped    TaskReportKind = "stopped"
+	ReportCheckpoint TaskReportKind = "checkpoint"
+)
+
+// TaskReport is a worker's word about one attempt.
+type TaskReport struct {
+	Task       TaskID
+	Epoch      uint64
+	Kind       TaskReportKind
+	Checkpoint string // for ReportCheckpoint, and ReportStopped after a checkpoint
+	Reason     string // for ReportFailed
+}
+
+// OrderKind says what a worker is to do.
+type OrderKind string
+
+// The kinds of order.
+const (
+	OrderStart      OrderKind = "start"
+	OrderThrottle   OrderKind = "throttle"
+	OrderCheckpoint OrderKind = "checkpoint"
+	OrderStop       OrderKind = "stop"
+)
+
+// Order tells a worker what to do with one attempt. Orders are repeated with
+// each heartbeat until the worker's report shows that they took effect.
+type Order struct {
+	Kind       OrderKind
+	Task       TaskID
+	Epoch      uint64
+	Size       Resources // for OrderStart
+	Command    string    // for OrderStart
+	Checkpoint string    // for OrderStart: where to resume
+}
--- /dev/null
+++ b/message.go
@@ -0,0 +1,205 @@
+package notch
+
+import "time"
+
+// Message is what one daemon sends to another. The encoding belongs to the
+// packages wire and link.
+type Message interface{ message() }
+
+// VoteRequest asks for a vote, or with Pre whether one would be given.
+type VoteRequest struct {
+	Pre       bool
+	Term      uint64
+	Candidate Replica
+	LastIndex uint64
+	LastTerm  uint64
+	HandOver  bool // the leader itself asked for this election
+}
+
+// VoteReply answers a VoteRequest.
+type VoteReply struct {
+	Pre     bool
+	Term    uint64
+	Voter   Replica
+	Granted bool
+}
+
+// AppendRequest carries entries after (PrevIndex, PrevTerm); without entries
+// it is a heartbeat.
+type AppendRequest struct {
+	Term      uint64
+	Leader    string
+	PrevIndex uint64
+	PrevTerm  uint64
+	Commit    uint64
+	SentAt    Time // leader's clock, echoed by the reply
+	Entries   []Entry
+}
+
+// AppendReply answers AppendRequest and InstallSnapshot. Match is the last
+// index known to agree and be synced; if OK is false it is where to try next.
+type AppendReply struct {
+	Term   uint64
+	From   Replica
+	OK     bool
+	Match  uint64
+	SentAt Time
+}
+
+// InstallSnapshot replaces the receiver's state.
+type InstallSnapshot struct {
+	Term     uint64
+	Leader   string
+	SentAt   Time
+	Snapshot Snapshot
+}
+
+// TimeoutNow asks the receiver to campaign at once.
+type TimeoutNow struct{ Term uint64 }
+
+// Forward asks the leader to propose a command.
+type Forward struct {
+	Ticket  uint64
+	Command Command
+}
+
+// Outcome answers a Forward once the command is applied.
+type Outcome struct {
+	Ticket uint64
+	Result Result
+}
+
+// LeaderHint tells a daemon that isn't a replica who leads. It is sent in
+// answer to a message that only the leader can serve.
+type LeaderHint struct {
+	Term   uint64
+	Leader string // empty: none is known
+	SentAt Time   // echoed from LeaderQuery, zero otherwise
+}
+
+// LeaderQuery asks a replica who leads.
+type LeaderQuery struct{ SentAt Time }
+
+// Hello opens a link and is repeated when the sender's view changes.
+type Hello struct {
+	Daemon  Daemon
+	Storage uint64 // zero without a data folder
+	Cluster uint64 // zero if the sender belongs to no cluster yet
+	Known   []Daemon
+}
+
+// Goodbye says that the sender stops and gives back what it holds.
+type Goodbye struct{}
+
+// Announcements spreads what backend servers said, as changes since the last.
+type Announcements struct{ Servers []Announcement }
+
+// Announcement is a backend server's word and how long it still holds.
+type Announcement struct {
+	Server BackendServer
+	TTL    time.Duration
+	Hops   int // relays it may still pass
+}
+
+// Hold is a number of slots of one backend server.
+type Hold struct {
+	Server ServerID
+	Slots  int
+}
+
+// Demand is what one entry could use of a pool.
+type Demand struct {
+	Pool  string
+	Slots int // in flight and queued
+}
+
+// EntryReport asks the leader to renew the entry's lease.
+type EntryReport struct {
+	Domain   string
+	Revision uint64 // of the tables in force at the entry
+	Term     uint64 // leader's term that the entry last obeyed
+	Seq      uint64 // of the last grant applied
+	SentAt   Time   // entry's clock, echoed by the grant
+	Demand   []Demand
+	Holds    []Hold // slots that the entry may still use or has in use
+}
+
+// EntryGrant renews an entry's lease and sets its slots. A server that isn't
+// listed in a full grant has none.
+type EntryGrant struct {
+	Term     uint64
+	Seq      uint64
+	SentAt   Time          // echoed
+	Lease    time.Duration // from SentAt
+	Entries  int           // live entries, to divide idle connections by
+	Revision uint64        // current revision
+	Tables   *Tables       // set if the entry's revision is older
+	Slots    []Hold
+}
+
+// WorkerRequest carries a worker's call from the daemon that took it to the leader.
+type WorkerRequest struct {
+	Ticket uint64
+	Beat   Heartbeat
+}
+
+// WorkerReply answers a WorkerRequest.
+type WorkerReply struct {
+	Ticket uint64
+	Reply  HeartbeatReply
+}
+
+// Heartbeat is a worker's periodic call. Registration is the first one.
+type Heartbeat struct {
+	Worker  Worker
+	Usage   Usage
+	Reports []TaskReport // repeated until acknowledged
+	Running []TaskEpoch  // every attempt that holds resources on the host
+}
+
+// HeartbeatReply answers a Heartbeat.
+type HeartbeatReply struct {
+	Known   bool          // false: the leader isn't known, the worker should try again
+	Lease   time.Duration // from the sending of the heartbeat
+	Orders  []Order
+	Settled []TaskEpoch // attempts whose final report is committed
+}
+
+// JobsQuery asks the leader for jobs.
+type JobsQuery struct {
+	Ticket uint64
+	Job    string // empty: all, without tasks
+}
+
+// JobsAnswer answers a JobsQuery.
+type JobsAnswer struct {
+	Ticket uint64
+	View   JobsView
+}
+
+// JobsView is what callers may know of jobs.
+type JobsView struct {
+	Jobs  []JobRecord
+	Tasks []Task // of the one job asked for
+	Waits string // why its next task waits
+}
+
+func (VoteRequest) message()     {}
+func (VoteReply) message()       {}
+func (AppendRequest) message()   {}
+func (AppendReply) message()     {}
+func (InstallSnapshot) message() {}
+func (TimeoutNow) message()      {}
+func (Forward) message()         {}
+func (Outcome) message()         {}
+func (LeaderHint) message()      {}
+func (LeaderQuery) message()     {}
+func (Hello) message()           {}
+func (Goodbye) message()         {}
+func (Announcements) message()   {}
+func (EntryReport) message()     {}
+func (EntryGrant) message()      {}
+func (WorkerRequest) message()   {}
+func (WorkerReply) message()     {}
+func (JobsQuery) message()       {}
+func (JobsAnswer) message()      {}
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,138 @@
+package notch
+
+import "time"
+
+// Candidate is a backend server that has a free slot at this entry.
+type Candidate struct {
+	Server   ServerID
+	InFlight int
+	Slots    int           // what the entry may use now
+	Mean     time.Duration // recent mean latency
+	Tail     time.Duration // recent estimate of the 95th percentile
+	Samples  int           // behind Mean and Tail
+	Local    bool          // in the entry's failure domain
+	Age      time.Duration // since this incarnation was first seen
+}
+
+// Candidates is an indexed view of the backend servers of a pool.
+type Candidates interface {
+	Len() int
+	// At returns candidate i. It isn't available if ok is false.
+	At(i int) (c Candidate, ok bool)
+}
+
+// Picker chooses a backend server for a request.
+type Picker interface {
+	// Pick returns an index of cs, or -1 if none is available.
+	Pick(cs Candidates, seed uint64) int
+}
+
+// Waiting describes a request that waits at an entry.
+type Waiting struct {
+	Class    Class
+	Arrived  Time
+	Deadline Time
+	Expected time.Duration // by the history of its kind; zero if there is none
+}
+
+// QueueOrder decides which waiting request goes next.
+type QueueOrder interface {
+	// Rank orders requests of one pool; the lowest goes first. It depends on
+	// the request alone, so that a queue stays sorted as time passes.
+	Rank(w Waiting) int64
+}
+
+// QueueLoad describes the queue that a request would join.
+type QueueLoad struct {
+	Length   int           // requests waiting at this entry, of any class
+	Ahead    int           // of these, those that go before it
+	Limit    int           // most that may wait
+	Slots    int           // what the entry may use of the pool
+	Service  time.Duration // mean latency of the pool
+	Deadline time.Duration // left to the request
+}
+
+// Admitter decides whether a request may wait.
+type Admitter interface {
+	Admit(q QueueLoad) (ok bool, reason RefusalReason)
+}
+
+// RetryState is what a retry decision knows.
+type RetryState struct {
+	Attempts  int // sends so far
+	Outcome   AttemptOutcome
+	Repeat    bool // sending again is safe: idempotent, or provably not run
+	Remaining time.Duration
+	Tokens    float64 // of the retry budget
+}
+
+// Retrier decides whether a request is sent again.
+type Retrier interface {
+	Retry(s RetryState) bool
+	// Earn is added to the budget for each first send; a retry costs 1.
+	Earn() float64
+}
+
+// ServerShare is a backend server whose slots are to be divided.
+type ServerShare struct {
+	Server ServerID
+	Domain string
+	Slots  int
+}
+
+// EntryShare is an entry's claim on a pool.
+type EntryShare struct {
+	Entry  string
+	Domain string
+	Demand int
+}
+
+// Divider divides the slots of a pool between entries. The result has a row per
+// server and a column per entry; no row sums to more than the server's slots.
+type Divider interface {
+	Divide(servers []ServerShare, entries []EntryShare) [][]int
+}
+
+// PlaceRequest is a task to be placed.
+type PlaceRequest struct {
+	Task Task
+	Job  Job
+	Size Resources
+}
+
+// WorkerView is a worker as a placer sees it.
+type WorkerView struct {
+	Worker   Worker
+	Free     Resources
+	Pressure float64  // latest report of the services' suffering
+	Kinds    []string // kinds that run there, one entry a task
+}
+
+// WorkerViews is an indexed view of the workers of a pool that take work.
+type WorkerViews interface {
+	Len() int
+	At(i int) WorkerView
+}
+
+// Placer chooses a worker for a task.
+type Placer interface {
+	// Place returns an index of ws, or -1 if the task fits nowhere now.
+	Place(r PlaceRequest, ws WorkerViews, seed uint64) int
+}
+
+// TaskOrder decides which queued task of a team goes next.
+type TaskOrder interface {
+	// Band returns a rank from the class and the expected run time; the lowest
+	// goes first, equal ones in the order of submission.
+	Band(class Class, expected time.Duration) int
+}
+
+// Interference is what is known of the harm that kinds of tasks do to the
+// services beside them. It is immutable.
+type Interference interface {
+	// WithSample returns it with one more report: the kinds that ran when the
+	// pressure was measured.
+	WithSample(kinds []string, pressure float64) Interference
+	// Harm estimates the pressure that a task of kind adds beside the others.
+	Harm(kind string, others []string) float64
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,81 @@
+package notch
+
+import "slices"
+
+// Part is an immutable piece of state with its reducer. Parts don't know each
+// other: one tells the others by an [Emit] effect.
+type Part interface {
+	// Step returns the part after e and what is to be done.
+	Step(e Event) (Part, []Effect)
+}
+
+// ReplicatedPart is a part that belongs to the replicated state.
+type ReplicatedPart interface {
+	Part
+	// Image returns what a snapshot has to hold of the part.
+	Image() Image
+}
+
+// State is the whole state of one reducer: that of the control loop or of a lane.
+type State struct{ parts []Part }
+
+// NewState returns a state of the given parts. An event reaches them in this order.
+func NewState(parts ...Part) State { return State{parts: slices.Clone(parts)} }
+
+// Parts returns the parts of s, for dumps and tests.
+func (s State) Parts() []Part { return slices.Clone(s.parts) }
+
+// Step is the reducer: it returns the state after e, and what is to be done
+// about it. It is a pure function. Events that parts emit are reduced within the
+// same step, in the order of emission.
+func Step(s State, e Event) (State, []Effect) {
+	s.parts = slices.Clone(s.parts)
+	var out []Effect
+	pending := []Body{e.Body}
+	for n := uint64(0); len(pending) > 0; n++ {
+		body := pending[0]
+		pending = pending[1:]
+		inner := Event{At: e.At, Seed: Mix(e.Seed + n), Body: body}
+		for i, p := range s.parts {
+			next, effects := p.Step(inner)
+			s.parts[i] = next
+			for _, f := range effects {
+				switch f := f.(type) {
+				case Emit:
+					pending = append(pending, f.Body)
+				case TakeSnapshot:
+					pending = append(pending, SnapshotTaken{s.snapshot(f)})
+				default:
+					out = append(out, f)
+				}
+			}
+		}
+	}
+	return s, out
+}
+
+func (s State) snapshot(f TakeSnapshot) Snapshot {
+	snap := Snapshot{Index: f.Index, Term: f.Term, Replicas: f.Replicas}
+	for _, p := range s.parts {
+		if r, ok := p.(ReplicatedPart); ok {
+			snap.Images = append(snap.Images, r.Image())
+		}
+	}
+	return snap
+}
+
+// Mix scrambles x, so that nearby seeds give unrelated values (splitmix64).
+func Mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Pick returns a value in [0, n) drawn from seed.
+func Pick(seed uint64, n int) int {
+	if n <= 1 {
+		return 0
+	}
+	return int(Mix(seed) % uint64(n))
+}
