--- a/effect.go
+++ b/effect.go
@@ -18,6 +18,9 @@
 // Connect opens a link to a daemon.
 type Connect struct{ Daemon Daemon }
 
+// SetHello replaces what new links open with.
+type SetHello struct{ Hello Hello }
+
 // Persist syncs the hard state and entries, replacing what the log held from
 // the first of them on. Then is sent after the sync.
 type Persist struct {
@@ -35,14 +38,6 @@
 	Then     []Send
 }
 
-// TakeSnapshot gathers the images of all parts; it becomes SnapshotTaken
-// within the same step.
-type TakeSnapshot struct {
-	Index    uint64
-	Term     uint64
-	Replicas ReplicaSet
-}
-
 // Answer completes a front end's call.
 type Answer struct {
 	Ticket uint64
@@ -56,10 +51,10 @@
 	Reply  HeartbeatReply
 }
 
-// AnswerJobs completes a question about jobs.
-type AnswerJobs struct {
+// AnswerQuery completes a question to the leader.
+type AnswerQuery struct {
 	Ticket uint64
-	View   JobsView
+	View   View
 	Err    error
 }
 
@@ -123,12 +118,12 @@
 func (Emit) effect()         {}
 func (Send) effect()         {}
 func (Connect) effect()      {}
+func (SetHello) effect()     {}
 func (Persist) effect()      {}
 func (SaveSnapshot) effect() {}
-func (TakeSnapshot) effect() {}
 func (Answer) effect()       {}
 func (AnswerWorker) effect() {}
-func (AnswerJobs) effect()   {}
+func (AnswerQuery) effect()  {}
 func (ToLanes) effect()      {}
 func (ToControl) effect()    {}
 func (Dispatch) effect()     {}
--- a/event.go
+++ b/event.go
@@ -68,16 +68,44 @@
 	Deadline Time
 }
 
-// JobsAsked is a question about jobs that reached this daemon.
-type JobsAsked struct {
+// Asked is a question for the leader that reached this daemon.
+type Asked struct {
 	Ticket   uint64
-	Job      string
+	Question Question
 	Deadline Time
 }
 
 // Announced is a backend server's call that reached this daemon.
 type Announced struct{ Server BackendServer }
 
+// Beat is a heartbeat that reached the leader, through Origin.
+type Beat struct {
+	Origin string
+	Ticket uint64
+	Beat   Heartbeat
+}
+
+// BeatAnswered is the leader's answer to a Beat.
+type BeatAnswered struct {
+	Origin string
+	Ticket uint64
+	Reply  HeartbeatReply
+}
+
+// QuestionArrived is a question that reached the leader, through Origin.
+type QuestionArrived struct {
+	Origin   string
+	Ticket   uint64
+	Question Question
+}
+
+// QuestionAnswered is the leader's answer to QuestionArrived.
+type QuestionAnswered struct {
+	Origin string
+	Ticket uint64
+	View   View
+}
+
 // Proposal asks consensus to append a command. It is ignored unless leading.
 type Proposal struct {
 	Origin  string
@@ -91,6 +119,14 @@
 // Restored replaces the replicated state of every part.
 type Restored struct{ Snapshot Snapshot }
 
+// SnapshotDue asks for the images of all parts as of Index. [Step] answers it
+// with SnapshotTaken.
+type SnapshotDue struct {
+	Index    uint64
+	Term     uint64
+	Replicas ReplicaSet
+}
+
 // SnapshotTaken is the replicated state of every part.
 type SnapshotTaken struct{ Snapshot Snapshot }
 
@@ -132,6 +168,7 @@
 
 // SlotsGranted tells the lanes what this entry may use and until when.
 type SlotsGranted struct {
+	Seq     uint64
 	Until   Time
 	Entries int
 	Slots   []Hold
@@ -140,6 +177,7 @@
 // LaneLoad tells the control loop what the pools of a lane use and want.
 type LaneLoad struct {
 	Lane   int
+	Seq    uint64 // of the last SlotsGranted that the lane obeys
 	Demand []Demand
 	InUse  []Hold
 }
@@ -184,34 +222,39 @@
 // CallerGone says that the caller of a waiting request went away.
 type CallerGone struct{ Request uint64 }
 
-func (Tick) body()            {}
-func (Flush) body()           {}
-func (MessageReceived) body() {}
-func (PeerDown) body()        {}
-func (PeerUp) body()          {}
-func (Recovered) body()       {}
-func (Persisted) body()       {}
-func (PersistFailed) body()   {}
-func (SnapshotSaved) body()   {}
-func (ShutdownStarted) body() {}
-func (Submitted) body()       {}
-func (WorkerCalled) body()    {}
-func (JobsAsked) body()       {}
-func (Announced) body()       {}
-func (Proposal) body()        {}
-func (Committed) body()       {}
-func (Restored) body()        {}
-func (SnapshotTaken) body()   {}
-func (Applied) body()         {}
-func (LeaderChanged) body()   {}
-func (Leadership) body()      {}
-func (TablesApplied) body()   {}
-func (TablesLearned) body()   {}
-func (ReplicasChanged) body() {}
-func (ReplicaSeen) body()     {}
-func (ServersChanged) body()  {}
-func (SlotsGranted) body()    {}
-func (LaneLoad) body()        {}
-func (RequestArrived) body()  {}
-func (AttemptEnded) body()    {}
-func (CallerGone) body()      {}
+func (Tick) body()             {}
+func (Flush) body()            {}
+func (MessageReceived) body()  {}
+func (PeerDown) body()         {}
+func (PeerUp) body()           {}
+func (Recovered) body()        {}
+func (Persisted) body()        {}
+func (PersistFailed) body()    {}
+func (SnapshotSaved) body()    {}
+func (ShutdownStarted) body()  {}
+func (Submitted) body()        {}
+func (WorkerCalled) body()     {}
+func (Asked) body()            {}
+func (Announced) body()        {}
+func (Beat) body()             {}
+func (BeatAnswered) body()     {}
+func (QuestionArrived) body()  {}
+func (QuestionAnswered) body() {}
+func (Proposal) body()         {}
+func (Committed) body()        {}
+func (Restored) body()         {}
+func (SnapshotDue) body()      {}
+func (SnapshotTaken) body()    {}
+func (Applied) body()          {}
+func (LeaderChanged) body()    {}
+func (Leadership) body()       {}
+func (TablesApplied) body()    {}
+func (TablesLearned) body()    {}
+func (ReplicasChanged) body()  {}
+func (ReplicaSeen) body()      {}
+func (ServersChanged) body()   {}
+func (SlotsGranted) body()     {}
+func (LaneLoad) body()         {}
+func (RequestArrived) body()   {}
+func (AttemptEnded) body()     {}
+func (CallerGone) body()       {}
--- a/message.go
+++ b/message.go
@@ -115,13 +115,14 @@
 
 // EntryReport asks the leader to renew the entry's lease.
 type EntryReport struct {
-	Domain   string
-	Revision uint64 // of the tables in force at the entry
-	Term     uint64 // leader's term that the entry last obeyed
-	Seq      uint64 // of the last grant applied
-	SentAt   Time   // entry's clock, echoed by the grant
-	Demand   []Demand
-	Holds    []Hold // slots that the entry may still use or has in use
+	Incarnation uint64
+	Domain      string
+	Revision    uint64 // of the tables in force at the entry
+	Term        uint64 // leader's term that the entry last obeyed
+	Seq         uint64 // of the last grant applied
+	SentAt      Time   // entry's clock, echoed by the grant
+	Demand      []Demand
+	Holds       []Hold // slots that the entry may still use or has in use
 }
 
 // EntryGrant renews an entry's lease and sets its slots. A server that isn't
@@ -132,6 +133,7 @@
 	SentAt   Time          // echoed
 	Lease    time.Duration // from SentAt
 	Entries  int           // live entries, to divide idle connections by
+	Voters   []string      // names of the control replicas
 	Revision uint64        // current revision
 	Tables   *Tables       // set if the entry's revision is older
 	Slots    []Hold
@@ -165,23 +167,50 @@
 	Settled []TaskEpoch // attempts whose final report is committed
 }
 
-// JobsQuery asks the leader for jobs.
-type JobsQuery struct {
-	Ticket uint64
-	Job    string // empty: all, without tasks
+// QuestionKind says what a question is about.
+type QuestionKind string
+
+// The kinds of question.
+const (
+	AskJobs    QuestionKind = "jobs"    // all jobs, without their tasks
+	AskJob     QuestionKind = "job"     // the named job with its tasks
+	AskWorkers QuestionKind = "workers" // all workers
+	AskEntries QuestionKind = "entries" // all entries and the revision each obeys
+)
+
+// Question is something that the leader is asked.
+type Question struct {
+	Kind QuestionKind
+	Name string // for AskJob
 }
 
-// JobsAnswer answers a JobsQuery.
-type JobsAnswer struct {
+// Query passes a question to the leader.
+type Query struct {
+	Ticket   uint64
+	Question Question
+}
+
+// QueryAnswer answers a Query.
+type QueryAnswer struct {
 	Ticket uint64
-	View   JobsView
+	View   View
+}
+
+// View is the answer to a question; the fields that it isn't about are empty.
+type View struct {
+	Jobs     []JobRecord
+	Tasks    []Task
+	Waits    string // why the next task of the job waits
+	Workers  []Worker
+	Entries  []EntryStatus
+	Revision uint64 // of the tables, for AskEntries
 }
 
-// JobsView is what callers may know of jobs.
-type JobsView struct {
-	Jobs  []JobRecord
-	Tasks []Task // of the one job asked for
-	Waits string // why its next task waits
+// EntryStatus is what the leader knows of one entry.
+type EntryStatus struct {
+	Name     string
+	Revision uint64
+	Lease    time.Duration // left; not positive once it has run out
 }
 
 func (VoteRequest) message()     {}
@@ -201,5 +230,5 @@
 func (EntryGrant) message()      {}
 func (WorkerRequest) message()   {}
 func (WorkerReply) message()     {}
-func (JobsQuery) message()       {}
-func (JobsAnswer) message()      {}
+func (Query) message()           {}
+func (QueryAnswer) message()     {}
--- /dev/null
+++ b/share/entry.go
@@ -0,0 +1,272 @@
+package share
+
+import (
+	"maps"
+	"slices"
+
+	notch "tamaracknotch"
+)
+
+// Entry is the part that keeps one entry's lease.
+type Entry struct {
+	self    notch.Daemon
+	timing  Timing
+	leader  string
+	term    uint64 // highest known
+	seq     uint64 // of the last grant applied, in term; zero: none
+	issued  uint64 // of the last SlotsGranted handed to the lanes
+	revised uint64 // revision in force
+	voters  []string
+	hinted  map[string]notch.Time // replicas that knew no leader when asked at that instant
+
+	until     notch.Time
+	granted   notch.Time // when the last grant of a leader was asked for
+	caps      []notch.Hold
+	laneCount int
+	lanes     map[int]notch.LaneLoad
+	reported  notch.Time
+	queried   notch.Time
+	lastTotal int
+	entries   int
+	leased    bool
+	stopping  bool
+}
+
+// EntryOption adjusts a new Entry.
+type EntryOption func(*Entry)
+
+// WithEntryTiming replaces DefaultTiming.
+func WithEntryTiming(t Timing) EntryOption { return func(e *Entry) { e.timing = t } }
+
+// NewEntry returns an entry of the given number of lanes, without a lease.
+func NewEntry(self notch.Daemon, lanes int, opts ...EntryOption) Entry {
+	e := Entry{self: self, timing: DefaultTiming, laneCount: lanes}
+	for _, opt := range opts {
+		opt(&e)
+	}
+	return e
+}
+
+// Until returns when the lease ends.
+func (p Entry) Until() notch.Time { return p.until }
+
+// Step implements [notch.Part].
+func (p Entry) Step(e notch.Event) (notch.Part, []notch.Effect) {
+	switch b := e.Body.(type) {
+	case notch.Tick:
+		return p.tick(e.At)
+	case notch.LeaderChanged:
+		return p.leaderChanged(b), nil
+	case notch.TablesApplied:
+		p.revised = b.Tables.Revision
+		return p.report(e.At)
+	case notch.LaneLoad:
+		return p.laneLoad(e.At, b)
+	case notch.ShutdownStarted:
+		p.stopping = true
+	case notch.MessageReceived:
+		switch m := b.Message.(type) {
+		case notch.EntryGrant:
+			return p.onGrant(e.At, b.From, m)
+		case notch.LeaderHint:
+			return p.onHint(e.At, b.From, m)
+		}
+	}
+	return p, nil
+}
+
+func (p Entry) leaderChanged(b notch.LeaderChanged) Entry {
+	if b.Term < p.term {
+		return p
+	}
+	if b.Term > p.term {
+		p.seq = 0
+	}
+	p.leader, p.term = b.Leader, b.Term
+	return p
+}
+
+func (p Entry) tick(now notch.Time) (notch.Part, []notch.Effect) {
+	var out []notch.Effect
+	if p.leased && !now.Before(p.until) {
+		p.leased = false
+		out = append(out, p.notice("lease ended: requests are refused until control answers"))
+	}
+	if now.Sub(p.reported) >= p.timing.Report {
+		next, more := p.report(now)
+		p = next.(Entry)
+		out = append(out, more...)
+	}
+	next, more := p.query(now)
+	return next, append(out, more...)
+}
+
+// query asks the replicas who leads, when no leader has answered lately.
+func (p Entry) query(now notch.Time) (notch.Part, []notch.Effect) {
+	fresh := p.granted != 0 && now.Sub(p.granted) < p.timing.Lease/3
+	if fresh || now.Sub(p.queried) < p.timing.Lease/6 {
+		return p, nil
+	}
+	p.queried = now
+	var out []notch.Effect
+	for _, v := range p.voters {
+		out = append(out, notch.Send{To: v, Message: notch.LeaderQuery{SentAt: now}})
+	}
+	return p, out
+}
+
+func (p Entry) laneLoad(now notch.Time, b notch.LaneLoad) (notch.Part, []notch.Effect) {
+	p.lanes = maps.Clone(p.lanes)
+	if p.lanes == nil {
+		p.lanes = map[int]notch.LaneLoad{}
+	}
+	p.lanes[b.Lane] = b
+	total := 0
+	for _, d := range p.demand() {
+		total += d.Slots
+	}
+	// A swing is reported at once.
+	if total > p.lastTotal+p.lastTotal/4 || b.Seq == p.issued && now.Sub(p.reported) >= p.timing.Divide {
+		return p.report(now)
+	}
+	return p, nil
+}
+
+func (p Entry) demand() []notch.Demand {
+	sum := map[string]int{}
+	for _, l := range p.lanes {
+		for _, d := range l.Demand {
+			sum[d.Pool] += d.Slots
+		}
+	}
+	var out []notch.Demand
+	for _, pool := range slices.Sorted(maps.Keys(sum)) {
+		out = append(out, notch.Demand{Pool: pool, Slots: sum[pool]})
+	}
+	return out
+}
+
+// holds returns the slots that the entry may use or has in use.
+func (p Entry) holds() []notch.Hold {
+	most := map[notch.ServerID]int{}
+	for _, h := range p.caps {
+		most[h.Server] = h.Slots
+	}
+	for _, l := range p.lanes {
+		for _, h := range l.InUse {
+			most[h.Server] = max(most[h.Server], h.Slots)
+		}
+	}
+	return holdsOf(most)
+}
+
+func holdsOf(m map[notch.ServerID]int) []notch.Hold {
+	var out []notch.Hold
+	for _, id := range slices.Sorted(maps.Keys(m)) {
+		if m[id] > 0 {
+			out = append(out, notch.Hold{Server: id, Slots: m[id]})
+		}
+	}
+	return out
+}
+
+// acked reports whether every lane obeys the last grant, so that what they have
+// in use no longer grows beyond it.
+func (p Entry) acked() bool {
+	for _, l := range p.lanes {
+		if l.Seq != p.issued {
+			return false
+		}
+	}
+	return len(p.lanes) == p.laneCount
+}
+
+func (p Entry) report(now notch.Time) (notch.Part, []notch.Effect) {
+	if p.leader == "" || !p.acked() {
+		return p, nil
+	}
+	p.reported = now
+	demand := p.demand()
+	p.lastTotal = 0
+	for _, d := range demand {
+		p.lastTotal += d.Slots
+	}
+	return p, []notch.Effect{notch.Send{To: p.leader, Message: notch.EntryReport{
+		Incarnation: p.self.Incarnation, Domain: p.self.Domain, Revision: p.revised,
+		Term: p.term, Seq: p.seq, SentAt: now, Demand: demand, Holds: p.holds(),
+	}}}
+}
+
+func (p Entry) onGrant(now notch.Time, from string, m notch.EntryGrant) (notch.Part, []notch.Effect) {
+	if m.Term < p.term || (m.Term == p.term && m.Seq <= p.seq) {
+		return p, nil
+	}
+	var out []notch.Effect
+	if m.Term > p.term || p.leader != from {
+		p.leader = from
+		if !p.self.Replica {
+			out = append(out, notch.Emit{Body: notch.LeaderChanged{Leader: from, Term: m.Term}})
+		}
+	}
+	p.term, p.seq, p.voters = m.Term, m.Seq, m.Voters
+	p.granted = m.SentAt
+	p.until = max(p.until, m.SentAt.Add(m.Lease))
+	p.caps = m.Slots
+	p.hinted = nil
+	if m.Tables != nil {
+		out = append(out, notch.Emit{Body: notch.TablesLearned{Tables: *m.Tables}})
+	}
+	if !p.leased && now.Before(p.until) {
+		p.leased = true
+		out = append(out, p.notice("holds a lease"))
+	}
+	p.entries = m.Entries
+	return p.issue(out)
+}
+
+// issue tells the lanes what they may use.
+func (p Entry) issue(out []notch.Effect) (notch.Part, []notch.Effect) {
+	p.issued++
+	slots := notch.SlotsGranted{Seq: p.issued, Until: p.until, Entries: p.entries, Slots: p.caps}
+	return p, append(out, notch.ToLanes{Body: slots})
+}
+
+// onHint takes a replica's word about the leader. If a majority knew none at
+// some instant, then a leader elected later waits for a lease from then on, so
+// that the own lease may be extended by as much.
+func (p Entry) onHint(now notch.Time, from string, m notch.LeaderHint) (notch.Part, []notch.Effect) {
+	if m.Leader != "" {
+		if p.self.Replica || m.Term < p.term || m.Leader == p.leader {
+			return p, nil
+		}
+		return p, []notch.Effect{notch.Emit{Body: notch.LeaderChanged{Leader: m.Leader, Term: m.Term}}}
+	}
+	if m.SentAt == 0 || !slices.Contains(p.voters, from) {
+		return p, nil
+	}
+	p.hinted = maps.Clone(p.hinted)
+	if p.hinted == nil {
+		p.hinted = map[string]notch.Time{}
+	}
+	p.hinted[from] = max(p.hinted[from], m.SentAt)
+	return p.extend(now)
+}
+
+func (p Entry) extend(now notch.Time) (notch.Part, []notch.Effect) {
+	asked := slices.Sorted(maps.Values(p.hinted))
+	need := len(p.voters)/2 + 1
+	if len(asked) < need || p.granted == 0 {
+		return p, nil
+	}
+	since := asked[len(asked)-need]
+	until := min(since.Add(p.timing.Lease), p.granted.Add(p.timing.Leaderless))
+	if until <= p.until || until <= now {
+		return p, nil
+	}
+	p.until = until
+	return p.issue(nil)
+}
+
+func (p Entry) notice(text string) notch.Effect {
+	return notch.Notice{Text: text, Fields: []notch.Field{{Name: "entry", Value: p.self.Name}}}
+}
--- /dev/null
+++ b/share/leader.go
@@ -0,0 +1,294 @@
+package share
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	notch "tamaracknotch"
+)
+
+// entry is what the leader knows of one incarnation of an entry.
+type entry struct {
+	name     string
+	domain   string
+	revision uint64
+	until    notch.Time // the lease, with drift, by the leader's clock
+	gone     notch.Time // when nothing that it began can still be in flight
+	seq      uint64     // of the last grant sent
+	acked    map[notch.ServerID]int
+	pending  []sentGrant // not yet acknowledged, oldest first
+	demand   map[string]int
+}
+
+type sentGrant struct {
+	seq   uint64
+	slots map[notch.ServerID]int
+}
+
+// atMost returns the slots of a backend server that the entry may have in use.
+func (e entry) atMost(id notch.ServerID) int {
+	n := e.acked[id]
+	for _, g := range e.pending {
+		n = max(n, g.slots[id])
+	}
+	return n
+}
+
+// Leader is the part that grants leases while its replica leads.
+type Leader struct {
+	self    string
+	timing  Timing
+	divider notch.Divider
+
+	leading notch.Leadership
+	tables  notch.Tables
+	voters  []string
+	servers []notch.BackendServer
+	entries map[string]entry // by name#incarnation; never modified in place
+	targets map[string]map[notch.ServerID]int
+	divided notch.Time
+}
+
+// LeaderOption adjusts a new Leader.
+type LeaderOption func(*Leader)
+
+// WithLeaderTiming replaces DefaultTiming.
+func WithLeaderTiming(t Timing) LeaderOption { return func(l *Leader) { l.timing = t } }
+
+// WithDivider replaces ByDemand.
+func WithDivider(d notch.Divider) LeaderOption { return func(l *Leader) { l.divider = d } }
+
+// NewLeader returns the part of the replica called self.
+func NewLeader(self string, opts ...LeaderOption) Leader {
+	l := Leader{self: self, timing: DefaultTiming, divider: ByDemand{Floor: DefaultFloor}}
+	for _, opt := range opts {
+		opt(&l)
+	}
+	return l
+}
+
+// Step implements [notch.Part].
+func (p Leader) Step(e notch.Event) (notch.Part, []notch.Effect) {
+	switch b := e.Body.(type) {
+	case notch.Leadership:
+		if !b.Leading || b.Term != p.leading.Term {
+			p.entries, p.targets = nil, nil
+		}
+		p.leading = b
+	case notch.TablesApplied:
+		p.tables, p.divided = b.Tables, 0
+	case notch.ServersChanged:
+		p.servers, p.divided = b.Servers, 0
+	case notch.ReplicasChanged:
+		p.voters = nil
+		for _, v := range b.Set.Voters {
+			p.voters = append(p.voters, v.Name)
+		}
+	case notch.QuestionArrived:
+		if b.Question.Kind == notch.AskEntries && p.leading.Leading {
+			return p, []notch.Effect{notch.Emit{Body: notch.QuestionAnswered{Origin: b.Origin, Ticket: b.Ticket, View: p.view(e.At)}}}
+		}
+	case notch.MessageReceived:
+		switch m := b.Message.(type) {
+		case notch.EntryReport:
+			return p.onReport(e.At, b.From, m)
+		case notch.Goodbye:
+			return p.onGoodbye(b.From), nil
+		}
+	}
+	return p, nil
+}
+
+func (p Leader) view(now notch.Time) notch.View {
+	v := notch.View{Revision: p.tables.Revision}
+	for _, key := range slices.Sorted(maps.Keys(p.entries)) {
+		e := p.entries[key]
+		v.Entries = append(v.Entries, notch.EntryStatus{Name: e.name, Revision: e.revision, Lease: e.until.Sub(now)})
+	}
+	return v
+}
+
+func (p Leader) onGoodbye(from string) Leader {
+	p.entries = maps.Clone(p.entries)
+	maps.DeleteFunc(p.entries, func(_ string, e entry) bool { return e.name == from })
+	p.divided = 0
+	return p
+}
+
+func (p Leader) onReport(now notch.Time, from string, m notch.EntryReport) (notch.Part, []notch.Effect) {
+	lease := p.leaseAt(now)
+	if !p.leading.Leading || p.leading.Ready == 0 || lease <= 0 {
+		return p, nil
+	}
+	key := fmt.Sprintf("%s#%d", from, m.Incarnation)
+	e, known := p.entries[key]
+	if !known {
+		p.divided = 0
+	}
+	e.name, e.domain, e.revision = from, m.Domain, m.Revision
+	e = e.withReport(m, p.leading.Term)
+	p = p.withEntry(key, e)
+	p = p.forget(now).divide(now)
+	p, grant := p.grant(now, key, lease)
+	grant.SentAt = m.SentAt
+	if m.Revision < p.tables.Revision {
+		tables := p.tables
+		grant.Tables = &tables
+	}
+	return p, []notch.Effect{notch.Send{To: from, Message: grant}}
+}
+
+// leaseAt returns how long an entry may rely on a grant sent now.
+func (p Leader) leaseAt(now notch.Time) time.Duration {
+	return p.leading.Contact.Add(p.timing.Lease).Sub(now)
+}
+
+func (e entry) withReport(m notch.EntryReport, term uint64) entry {
+	if m.Term != term {
+		m.Seq = 0
+	}
+	e.acked = map[notch.ServerID]int{}
+	for _, h := range m.Holds {
+		e.acked[h.Server] = h.Slots
+	}
+	e.demand = map[string]int{}
+	for _, d := range m.Demand {
+		e.demand[d.Pool] = d.Slots
+	}
+	e.pending = slices.DeleteFunc(slices.Clone(e.pending), func(g sentGrant) bool { return g.seq <= m.Seq })
+	return e
+}
+
+func (p Leader) withEntry(key string, e entry) Leader {
+	p.entries = maps.Clone(p.entries)
+	if p.entries == nil {
+		p.entries = map[string]entry{}
+	}
+	p.entries[key] = e
+	return p
+}
+
+// forget drops entries that can't have anything in flight any more.
+func (p Leader) forget(now notch.Time) Leader {
+	over := func(_ string, e entry) bool { return e.gone != 0 && !now.Before(e.gone) }
+	for _, e := range p.entries {
+		if over("", e) {
+			p.entries = maps.Clone(p.entries)
+			maps.DeleteFunc(p.entries, over)
+			p.divided = 0
+			return p
+		}
+	}
+	return p
+}
+
+// settled reports whether the leases and requests of a former leader's entries
+// have ended, so that whatever no entry reports is free.
+func (p Leader) settled(now notch.Time) bool {
+	if p.leading.Term <= firstTerm {
+		return true // a new cluster has no former leader
+	}
+	return !now.Before(p.leading.Ready.Add(withDrift(p.timing.Lease + p.longest())))
+}
+
+// firstTerm is the term of the first leader that a new cluster elects.
+const firstTerm = 2
+
+// longest returns the longest time that a request may be in flight.
+func (p Leader) longest() time.Duration {
+	var d time.Duration
+	for _, r := range p.tables.Routes {
+		d = max(d, r.Timeout)
+	}
+	return d
+}
+
+// divide recomputes the targets, if the last ones are old.
+func (p Leader) divide(now notch.Time) Leader {
+	if p.divided != 0 && now.Sub(p.divided) < p.timing.Divide {
+		return p
+	}
+	p.divided = now
+	p.targets = map[string]map[notch.ServerID]int{}
+	var keys []string
+	for _, key := range slices.Sorted(maps.Keys(p.entries)) {
+		if e := p.entries[key]; e.until == 0 || now.Before(e.until) {
+			keys = append(keys, key)
+			p.targets[key] = map[notch.ServerID]int{}
+		}
+	}
+	for _, pool := range p.tables.Pools {
+		if pool.Kind == notch.ServicePool {
+			p.dividePool(pool, keys)
+		}
+	}
+	return p
+}
+
+func (p Leader) dividePool(pool notch.Pool, keys []string) {
+	var servers []notch.ServerShare
+	for _, b := range p.servers {
+		if b.Pool != pool.Name {
+			continue
+		}
+		if b = b.WithPool(pool); !b.Leaving {
+			servers = append(servers, notch.ServerShare{Server: b.ID(), Domain: b.Domain, Slots: b.Slots})
+		}
+	}
+	var entries []notch.EntryShare
+	for _, key := range keys {
+		e := p.entries[key]
+		entries = append(entries, notch.EntryShare{Entry: key, Domain: e.domain, Demand: e.demand[pool.Name]})
+	}
+	rows := p.divider.Divide(servers, entries)
+	for i, s := range servers {
+		for j, key := range keys {
+			p.targets[key][s.Server] = rows[i][j]
+		}
+	}
+}
+
+// grant returns what the entry gets: its target, as far as no other entry may
+// have the slots in use.
+func (p Leader) grant(now notch.Time, key string, lease time.Duration) (Leader, notch.EntryGrant) {
+	e := p.entries[key]
+	settled := p.settled(now)
+	slots := map[notch.ServerID]int{}
+	limit := p.limits()
+	for id, target := range p.targets[key] {
+		free := limit[id]
+		for other, o := range p.entries {
+			if other != key {
+				free -= o.atMost(id)
+			}
+		}
+		n := min(target, free)
+		if !settled {
+			n = min(n, e.acked[id])
+		}
+		if n > 0 {
+			slots[id] = n
+		}
+	}
+	e.seq++
+	e.pending = append(slices.Clone(e.pending), sentGrant{seq: e.seq, slots: slots})
+	e.until = max(e.until, now.Add(withDrift(lease)))
+	e.gone = max(e.gone, e.until.Add(withDrift(p.longest())))
+	p = p.withEntry(key, e)
+	return p, notch.EntryGrant{
+		Term: p.leading.Term, Seq: e.seq, Lease: lease, Entries: len(p.entries),
+		Voters: p.voters, Revision: p.tables.Revision, Slots: holdsOf(slots),
+	}
+}
+
+func (p Leader) limits() map[notch.ServerID]int {
+	out := map[notch.ServerID]int{}
+	for _, b := range p.servers {
+		if pool, ok := p.tables.Pool(b.Pool); ok {
+			out[b.ID()] = b.WithPool(pool).Slots
+		}
+	}
+	return out
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -72,3 +72,9 @@
 	Term uint64
 	Vote string // name of the replica that got this term's vote
 }
+
+// WithVote returns h with the term's vote given to name.
+func (h HardState) WithVote(name string) HardState {
+	h.Vote = name
+	return h
+}
--- a/state.go
+++ b/state.go
@@ -27,35 +27,45 @@
 
 // Step is the reducer: it returns the state after e, and what is to be done
 // about it. It is a pure function. Events that parts emit are reduced within the
-// same step, in the order of emission.
+// same step and before anything that was pending when they were emitted: what
+// follows from one committed entry is thus complete before the next is applied,
+// on every replica alike.
 func Step(s State, e Event) (State, []Effect) {
 	s.parts = slices.Clone(s.parts)
 	var out []Effect
 	pending := []Body{e.Body}
 	for n := uint64(0); len(pending) > 0; n++ {
-		body := pending[0]
-		pending = pending[1:]
-		inner := Event{At: e.At, Seed: Mix(e.Seed + n), Body: body}
-		for i, p := range s.parts {
-			next, effects := p.Step(inner)
-			s.parts[i] = next
-			for _, f := range effects {
-				switch f := f.(type) {
-				case Emit:
-					pending = append(pending, f.Body)
-				case TakeSnapshot:
-					pending = append(pending, SnapshotTaken{s.snapshot(f)})
-				default:
-					out = append(out, f)
-				}
-			}
+		body := pending[len(pending)-1]
+		pending = pending[:len(pending)-1]
+		if due, ok := body.(SnapshotDue); ok {
+			body = SnapshotTaken{s.snapshot(due)}
 		}
+		emitted, effects := s.reduce(Event{At: e.At, Seed: Mix(e.Seed + n), Body: body})
+		out = append(out, effects...)
+		slices.Reverse(emitted)
+		pending = append(pending, emitted...)
 	}
 	return s, out
 }
 
-func (s State) snapshot(f TakeSnapshot) Snapshot {
-	snap := Snapshot{Index: f.Index, Term: f.Term, Replicas: f.Replicas}
+// reduce hands e to every part. It modifies s.parts, which Step has cloned.
+func (s State) reduce(e Event) (emitted []Body, out []Effect) {
+	for i, p := range s.parts {
+		next, effects := p.Step(e)
+		s.parts[i] = next
+		for _, f := range effects {
+			if f, ok := f.(Emit); ok {
+				emitted = append(emitted, f.Body)
+				continue
+			}
+			out = append(out, f)
+		}
+	}
+	return emitted, out
+}
+
+func (s State) snapshot(due SnapshotDue) Snapshot {
+	snap := Snapshot{Index: due.Index, Term: due.Term, Replicas: due.Replicas}
 	for _, p := range s.parts {
 		if r, ok := p.(ReplicatedPart); ok {
 			snap.Images = append(snap.Images, r.Image())
