--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -189,7 +189,8 @@
 	}
 	i := s.pools.find(q.Route.Pool)
 	if i < 0 {
-		s.requests = s.requests.Delete(q.ID)
+		q.mayRun = b.Outcome != notch.AttemptNotSent && b.Outcome != notch.AttemptRefused
+		s.refuse(q, notch.RefusedNoServer, 0)
 		return
 	}
 	s.release(i, q, b)
--- a/traffic/wait.go
+++ b/traffic/wait.go
@@ -81,6 +81,11 @@
 			continue
 		}
 		s.pools = s.pools.with(i, pool.withoutWaiting(key))
+		if s.dispatch(i, q) {
+			continue
+		}
+		// Where every backend server with room was tried, one is tried again.
+		q.tried = nil
 		if !s.dispatch(i, q) {
 			s.pools = s.pools.with(i, pool)
 			return
