Serve one request and run one job end to end over real sockets

The daemon, the operators' command, the HTTP interfaces and the virtual-time driver. Seen by hand: tables put and in force, a request answered whole, a job placed under a lease, and all of it back after SIGKILL and restart.

--- /dev/null
+++ b/api/problem.go
@@ -0,0 +1,77 @@
+// Package api holds the JSON documents of the HTTP interfaces and their
+// conversion to the values of the root package. Names are in kebab case; unknown
+// fields are errors.
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// MaxBody is the largest document that is read, in bytes.
+const MaxBody = 8 << 20
+
+// ProblemType is the media type of a problem document.
+const ProblemType = "application/problem+json"
+
+// Problem is an error as a document of RFC 9457.
+type Problem struct {
+	Type   string  `json:"type"`
+	Title  string  `json:"title"`
+	Status int     `json:"status"`
+	Detail string  `json:"detail,omitempty"`
+	Fields []Field `json:"fields,omitempty"`
+	Edit   *Edited `json:"edit,omitempty"` // for a conflict: the present version
+}
+
+// Field names a field that is wrong, and why.
+type Field struct {
+	Field  string `json:"field"`
+	Reason string `json:"reason"`
+}
+
+// NewProblem returns a problem with the status's usual title.
+func NewProblem(status int, detail string) Problem {
+	return Problem{Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: detail}
+}
+
+// Error implements error.
+func (p Problem) Error() string {
+	if p.Detail == "" {
+		return p.Title
+	}
+	return p.Title + ": " + p.Detail
+}
+
+// The headers by which an answer says whether the request ran.
+const (
+	NotRunHeader  = "Not-Run" // "true": the request provably did not run
+	OutcomeHeader = "Outcome" // "unknown": the request may have run
+	RequestID     = "Request-Id"
+	Unknown       = "unknown"
+)
+
+// Decode reads one JSON document into v. Unknown fields, a second document and
+// more than MaxBody bytes are errors.
+func Decode(r io.Reader, v any) error {
+	b, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
+	if err != nil {
+		return errors.Wrap(err, "read document")
+	}
+	if len(b) > MaxBody {
+		return errors.Errorf("the document has more than %d bytes", MaxBody)
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return errors.Wrap(err, "malformed document")
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errors.New("malformed document: more follows the first value")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/notchctl/main.go
@@ -0,0 +1,10 @@
+// Notchctl is the operators' command.
+package main
+
+import (
+	"os"
+
+	"tamaracknotch/ctl"
+)
+
+func main() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/notchload/main.go
@@ -0,0 +1,4 @@
+// Notchload is the load and experiment tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,290 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	notch "tamaracknotch"
+	"tamaracknotch/consensus"
+	"tamaracknotch/engine"
+	"tamaracknotch/entry"
+	"tamaracknotch/front"
+	"tamaracknotch/journal"
+	"tamaracknotch/link"
+)
+
+// Daemon is a running process of the system.
+type Daemon struct {
+	settings  Settings
+	log       *logrus.Logger
+	registry  metrics.Registry
+	engine    *engine.Engine
+	link      *link.Link
+	journal   *journal.Journal
+	callers   *server
+	operators *server
+	links     *server
+	stopping  atomic.Bool
+}
+
+// Module is the fx wiring: each piece is built from those that it needs, started
+// in that order and stopped in the reverse one.
+func Module(s Settings, out io.Writer) fx.Option {
+	return fx.Options(
+		fx.NopLogger,
+		fx.StopTimeout(time.Duration(s.DrainDelay)+time.Duration(s.StopTimeout)+stopMargin),
+		fx.Supply(s),
+		fx.Provide(
+			func() *logrus.Logger { return newLogger(s, out) },
+			func() metrics.Registry { return metrics.NewRegistry() },
+			New,
+		),
+		fx.Invoke(func(lc fx.Lifecycle, d *Daemon) {
+			lc.Append(fx.Hook{OnStart: d.start, OnStop: d.Stop})
+		}),
+	)
+}
+
+// stopMargin is added to the time that fx gives the stop.
+const stopMargin = 10 * time.Second
+
+// server is a listener and what serves it.
+type server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+func listen(address string) (*server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	return &server{listener: l, http: &http.Server{ReadHeaderTimeout: headerTimeout}}, nil
+}
+
+// headerTimeout bounds how long a client may take to send its headers.
+const headerTimeout = 10 * time.Second
+
+func (s *server) address() string { return s.listener.Addr().String() }
+
+func (s *server) serve(h http.Handler) {
+	s.http.Handler = h
+	go func() { s.http.Serve(s.listener) }()
+}
+
+// New opens the listeners and the data folder and builds the reducers. Nothing
+// is served yet.
+func New(s Settings, log *logrus.Logger, registry metrics.Registry) (*Daemon, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, log: log, registry: registry}
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	if err := d.build(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() (err error) {
+	if d.callers, err = listen(d.settings.Listen); err != nil {
+		return err
+	}
+	if d.operators, err = listen(d.settings.Operators); err != nil {
+		return err
+	}
+	d.links, err = listen(d.settings.Link)
+	return err
+}
+
+func (d *Daemon) closeListeners() {
+	for _, s := range []*server{d.callers, d.operators, d.links} {
+		if s != nil {
+			s.listener.Close()
+		}
+	}
+}
+
+func (d *Daemon) build() error {
+	self := notch.Daemon{
+		Name: d.settings.Name, Address: d.links.address(), Domain: d.settings.FailureDomain,
+		Incarnation: uint64(time.Now().UnixNano()), Replica: d.settings.DataDir != "",
+	}
+	var id journal.Identity
+	var recovered *notch.Recovered
+	if self.Replica {
+		var err error
+		if id, recovered, err = d.openData(self); err != nil {
+			return err
+		}
+	}
+	sent := metrics.GetOrRegisterCounter("link-bytes-sent", d.registry)
+	hello := notch.Hello{Daemon: self, Storage: id.Storage, Cluster: id.Cluster}
+	post := func(b notch.Body) { d.engine.Post(b) }
+	d.link = link.New([]byte(d.settings.LinkKey), hello, post, link.WithCounter(func(n int) { sent.Inc(int64(n)) }))
+	cfg := engine.Config{
+		Self: self, Control: controlState(d.settings, self, id.Storage, id.Cluster), Lanes: lanes(d.settings),
+		Clock: newClock(), Seed: rand.Uint64(), Link: d.link,
+		Sink: sink{registry: d.registry, log: d.log, name: self.Name},
+	}
+	if d.journal != nil {
+		cfg.Journal = d.journal
+	}
+	d.engine = engine.New(cfg, recovered)
+	return nil
+}
+
+// openData reads the data folder, after beginning a cluster if that is asked for.
+func (d *Daemon) openData(self notch.Daemon) (journal.Identity, *notch.Recovered, error) {
+	j := journal.New(journal.Folder(d.settings.DataDir))
+	fresh := journal.Identity{Storage: rand.Uint64() | 1}
+	if d.settings.Bootstrap {
+		fresh.Cluster = rand.Uint64() | 1
+	}
+	id, created, err := j.Identity(fresh)
+	if err != nil {
+		return id, nil, err
+	}
+	r, err := j.Load()
+	if err != nil {
+		return id, nil, errors.Wrap(err, "data folder "+d.settings.DataDir)
+	}
+	replica := notch.Replica{Name: self.Name, Storage: id.Storage}
+	if created && d.settings.Bootstrap {
+		r = consensus.Bootstrap(replica)
+		if err := j.Append([]notch.Persist{{Hard: r.Hard, Entries: r.Entries}}); err != nil {
+			return id, nil, err
+		}
+		d.log.WithField("daemon", self.Name).Info("began a new cluster")
+	}
+	if d.settings.RecoverAlone {
+		if r, err = recoverAlone(j, r, replica); err != nil {
+			return id, nil, err
+		}
+		d.log.WithField("daemon", self.Name).Warn("goes on as the only control replica")
+	}
+	d.journal = j
+	return id, &r, nil
+}
+
+// recoverAlone appends a replica set of this replica alone to what the journal
+// held. What the lost majority accepted and this replica never got is lost.
+func recoverAlone(j *journal.Journal, r notch.Recovered, self notch.Replica) (notch.Recovered, error) {
+	last, term := uint64(0), uint64(0)
+	if r.Snapshot != nil {
+		last, term = r.Snapshot.Index, r.Snapshot.Term
+	}
+	if n := len(r.Entries); n > 0 {
+		last, term = r.Entries[n-1].Index, r.Entries[n-1].Term
+	}
+	if last == 0 {
+		return r, errors.New("--recover-alone: the data folder holds no state to go on from")
+	}
+	e := notch.Entry{Index: last + 1, Term: max(term, r.Hard.Term),
+		Command: notch.ChangeReplicas{Set: notch.ReplicaSet{Voters: []notch.Replica{self}}}}
+	r.Entries = append(r.Entries, e)
+	return r, j.Append([]notch.Persist{{Hard: r.Hard, Entries: []notch.Entry{e}}})
+}
+
+// start serves. The links come first, callers last.
+func (d *Daemon) start(context.Context) error {
+	d.links.serve(d.linkHandler())
+	for _, a := range d.settings.Join {
+		d.link.Connect(notch.Daemon{Address: a})
+	}
+	d.operators.serve(front.Operators(d.engine, d.settings.OperatorKey, d, d.registry))
+	d.callers.serve(front.Callers(d.engine, d.settings.AgentKey, entry.New(d.engine, d.settings.Name)))
+	d.log.WithFields(logrus.Fields{
+		"daemon": d.settings.Name, "listen": d.callers.address(), "operators": d.operators.address(),
+		"link": d.links.address(),
+	}).Info("serving")
+	return nil
+}
+
+// Start serves callers, operators and the other daemons.
+func (d *Daemon) Start() error { return d.start(context.Background()) }
+
+func (d *Daemon) linkHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, d.link.Handler())
+	return mux
+}
+
+// Ready implements front.Health.
+func (d *Daemon) Ready() error {
+	switch {
+	case d.stopping.Load():
+		return errors.New("stopping")
+	case !d.engine.Leased():
+		return errors.New("no lease from control: requests are refused")
+	}
+	return nil
+}
+
+// Stop stops gracefully: unready first, then, after the balancer's delay, no new
+// connections; requests in flight end; what is held is given back.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.stopping.Store(true)
+	d.log.WithField("daemon", d.settings.Name).Info("stopping")
+	select {
+	case <-time.After(time.Duration(d.settings.DrainDelay)):
+	case <-ctx.Done():
+	}
+	sctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.StopTimeout))
+	defer cancel()
+	err := errors.Wrap(d.callers.http.Shutdown(sctx), "requests in flight at the end of --stop-timeout")
+	d.engine.Post(notch.ShutdownStarted{})
+	time.Sleep(handOverTime)
+	d.close()
+	return err
+}
+
+// handOverTime lets the lead and the slots be handed over before the links close.
+const handOverTime = 300 * time.Millisecond
+
+func (d *Daemon) close() {
+	d.operators.http.Close()
+	d.callers.http.Close()
+	d.link.Close()
+	d.links.http.Close()
+	d.engine.Close()
+	if d.journal != nil {
+		d.journal.Close()
+	}
+}
+
+// Kill ends the daemon without a hand-over, a goodbye or a wait for requests, as
+// far as a process can do that to a part of itself.
+func (d *Daemon) Kill() {
+	d.stopping.Store(true)
+	d.close()
+}
+
+// Callers returns the address for callers, backend servers and workers.
+func (d *Daemon) Callers() string { return d.callers.address() }
+
+// Operators returns the operators' address.
+func (d *Daemon) Operators() string { return d.operators.address() }
+
+// Link returns the address for other daemons.
+func (d *Daemon) Link() string { return d.links.address() }
+
+// Registry returns the daemon's metrics.
+func (d *Daemon) Registry() metrics.Registry { return d.registry }
+
+// Engine returns the daemon's engine.
+func (d *Daemon) Engine() *engine.Engine { return d.engine }
--- /dev/null
+++ b/daemon/observe.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"io"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	notch "tamaracknotch"
+)
+
+// newLogger returns the process's logger.
+func newLogger(s Settings, out io.Writer) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(out)
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		level = logrus.InfoLevel
+	}
+	log.SetLevel(level)
+	if s.LogFormat == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log
+}
+
+// sink counts in the metrics registry and logs changes of state.
+type sink struct {
+	registry metrics.Registry
+	log      *logrus.Logger
+	name     string
+}
+
+// Count implements engine.Sink.
+func (s sink) Count(name string, delta int64) {
+	metrics.GetOrRegisterCounter(name, s.registry).Inc(delta)
+}
+
+// Notice implements engine.Sink.
+func (s sink) Notice(n notch.Notice) {
+	fields := logrus.Fields{"daemon": s.name}
+	for _, f := range n.Fields {
+		fields[f.Name] = f.Value
+	}
+	s.log.WithFields(fields).Info(n.Text)
+}
+
+// systemClock implements notch.Clock by a clock that no adjustment of the
+// system's time can turn back.
+type systemClock struct{ start time.Time }
+
+func newClock() systemClock { return systemClock{start: time.Now()} }
+
+// Now implements notch.Clock.
+func (c systemClock) Now() notch.Time {
+	return notch.TimeOf(c.start).Add(time.Since(c.start))
+}
--- /dev/null
+++ b/daemon/parts.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	notch "tamaracknotch"
+	"tamaracknotch/batch"
+	"tamaracknotch/claim"
+	"tamaracknotch/consensus"
+	"tamaracknotch/gateway"
+	"tamaracknotch/member"
+	"tamaracknotch/order"
+	"tamaracknotch/pick"
+	"tamaracknotch/place"
+	"tamaracknotch/queue"
+	"tamaracknotch/retry"
+	"tamaracknotch/share"
+	"tamaracknotch/table"
+	"tamaracknotch/traffic"
+)
+
+// controlState returns the parts of the control loop. A daemon without a data
+// folder has no consensus part and follows what the leader tells.
+func controlState(s Settings, self notch.Daemon, storage, cluster uint64) notch.State {
+	divider, _ := share.New(s.Share)
+	parts := []notch.Part{member.New(self, storage, cluster), gateway.New(self.Name)}
+	if self.Replica {
+		parts = append(parts, consensus.New(notch.Replica{Name: self.Name, Storage: storage}))
+	}
+	parts = append(parts, table.New(), claim.New(), batch.New(batch.WithPolicy(batchPolicy(s))))
+	if self.Replica {
+		parts = append(parts, share.NewLeader(self.Name, share.WithDivider(divider)))
+	}
+	parts = append(parts, share.NewEntry(self, s.Lanes))
+	return notch.NewState(parts...)
+}
+
+func batchPolicy(s Settings) batch.Policy {
+	p := batch.DefaultPolicy()
+	p.Order, _ = order.New(s.TaskOrder)
+	p.Placer = func(in notch.Interference) notch.Placer {
+		placer, _ := place.New(s.Placer, in)
+		return placer
+	}
+	return p
+}
+
+func lanes(s Settings) []notch.State {
+	policy := traffic.DefaultPolicy()
+	policy.Picker, _ = pick.New(s.Picker)
+	policy.Order, _ = queue.Order(s.Queue)
+	policy.Retrier, _ = retry.New(s.Retry)
+	var out []notch.State
+	for i := range s.Lanes {
+		out = append(out, notch.NewState(traffic.New(i, s.FailureDomain, traffic.WithPolicy(policy))))
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,149 @@
+// Package daemon puts one process of the system together: settings, logs,
+// metrics, the reducers' parts, listeners, and an ordered start and stop.
+package daemon
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamaracknotch/api"
+	"tamaracknotch/link"
+	"tamaracknotch/order"
+	"tamaracknotch/pick"
+	"tamaracknotch/place"
+	"tamaracknotch/queue"
+	"tamaracknotch/retry"
+	"tamaracknotch/share"
+)
+
+// Settings are what a process learns from its flags and its environment.
+type Settings struct {
+	Name          string   `arg:"--name,env:NOTCH_NAME,required" help:"host name, unique among the daemons" placeholder:"NAME"`
+	FailureDomain string   `arg:"--failure-domain,env:NOTCH_FAILURE_DOMAIN,required" help:"failure domain of this host" placeholder:"NAME"`
+	Listen        string   `arg:"--listen,env:NOTCH_LISTEN" default:"127.0.0.1:8080" help:"address for callers, backend servers and workers" placeholder:"IP:PORT"`
+	Operators     string   `arg:"--operators,env:NOTCH_OPERATORS" default:"127.0.0.1:8081" help:"address for operators, metrics and health" placeholder:"IP:PORT"`
+	Link          string   `arg:"--link,env:NOTCH_LINK" default:"127.0.0.1:8082" help:"address for the other daemons; it must be reachable from them" placeholder:"IP:PORT"`
+	Join          []string `arg:"--join,env:NOTCH_JOIN" help:"link addresses of some other daemons" placeholder:"IP:PORT"`
+	DataDir       string   `arg:"--data-dir,env:NOTCH_DATA_DIR" help:"folder for the control state; makes this daemon a control replica once the pool control lists its name" placeholder:"FOLDER"`
+	Bootstrap     bool     `arg:"--bootstrap,env:NOTCH_BOOTSTRAP" help:"begin a new cluster if the data folder is empty; give it to one daemon only, once"`
+	RecoverAlone  bool     `arg:"--recover-alone,env:NOTCH_RECOVER_ALONE" help:"after the majority of the control replicas is lost for good: go on as the only one"`
+	LinkKey       string   `arg:"--link-key,env:NOTCH_LINK_KEY" help:"key that all daemons share; without one every address must be on loopback" placeholder:"KEY"`
+	OperatorKey   string   `arg:"--operator-key,env:NOTCH_OPERATOR_KEY" help:"key that operators send; without one every address must be on loopback" placeholder:"KEY"`
+	AgentKey      string   `arg:"--agent-key,env:NOTCH_AGENT_KEY" help:"key that backend servers and workers send; empty: none is asked for" placeholder:"KEY"`
+	Lanes         int      `arg:"--lanes,env:NOTCH_LANES" default:"4" help:"goroutines that decide about requests; a pool belongs to one of them"`
+	DrainDelay    Duration `arg:"--drain-delay,env:NOTCH_DRAIN_DELAY" default:"3s" help:"time between becoming unready and closing the listener, for the balancer to notice" placeholder:"DURATION"`
+	StopTimeout   Duration `arg:"--stop-timeout,env:NOTCH_STOP_TIMEOUT" default:"60s" help:"most time that requests in flight get to end at a stop" placeholder:"DURATION"`
+	Picker        string   `arg:"--picker,env:NOTCH_PICKER" default:"work" help:"choice of a backend server: work, tail, load, two or random"`
+	Queue         string   `arg:"--queue,env:NOTCH_QUEUE" default:"short-first" help:"order of waiting requests: short-first or fifo"`
+	Retry         string   `arg:"--retry,env:NOTCH_RETRY" default:"budget" help:"retries: budget or unlimited"`
+	Share         string   `arg:"--share,env:NOTCH_SHARE" default:"demand" help:"division of slots between entries: demand or equal"`
+	Placer        string   `arg:"--placer,env:NOTCH_PLACER" default:"scored" help:"choice of a worker: scored or first-fit"`
+	TaskOrder     string   `arg:"--task-order,env:NOTCH_TASK_ORDER" default:"short-first" help:"order of queued tasks: short-first or fifo"`
+	LogFormat     string   `arg:"--log-format,env:NOTCH_LOG_FORMAT" default:"text" help:"text or json"`
+	LogLevel      string   `arg:"--log-level,env:NOTCH_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
+}
+
+// Duration is a duration setting in Go's notation.
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	return (*api.Duration)(d).UnmarshalText(b)
+}
+
+// Defaults returns the settings of a daemon on loopback that listens on ports
+// which the system picks.
+func Defaults(name, domain string) Settings {
+	return Settings{
+		Name: name, FailureDomain: domain, Listen: "127.0.0.1:0", Operators: "127.0.0.1:0", Link: "127.0.0.1:0",
+		Lanes: 2, StopTimeout: Duration(60 * time.Second), Picker: "work", Queue: "short-first", Retry: "budget",
+		Share: "demand", Placer: "scored", TaskOrder: "short-first", LogFormat: "text", LogLevel: "info",
+	}
+}
+
+// The ranges of settings.
+const (
+	maxLanes      = 64
+	maxName       = 128
+	maxDrainDelay = 10 * time.Minute
+	minKey        = 16 // bytes
+)
+
+// Check returns an error that names each setting that is wrong, its value and
+// what is allowed.
+func (s Settings) Check() error {
+	var bad []string
+	fail := func(flag string, value any, allowed string) {
+		bad = append(bad, fmt.Sprintf("%s is %q: %s", flag, fmt.Sprint(value), allowed))
+	}
+	for flag, name := range map[string]string{"--name": s.Name, "--failure-domain": s.FailureDomain} {
+		if name == "" || len(name) > maxName || strings.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789-.") != "" {
+			fail(flag, name, "must have 1 to 128 lower-case letters, digits, hyphens and dots")
+		}
+	}
+	s.checkAddresses(fail)
+	s.checkKeys(fail)
+	if s.Lanes < 1 || s.Lanes > maxLanes {
+		fail("--lanes", s.Lanes, "must be 1 to 64")
+	}
+	for flag, d := range map[string]Duration{"--drain-delay": s.DrainDelay, "--stop-timeout": s.StopTimeout} {
+		if d < 0 || time.Duration(d) > maxDrainDelay {
+			fail(flag, time.Duration(d), "must be 0s to 10m")
+		}
+	}
+	if (s.Bootstrap || s.RecoverAlone) && s.DataDir == "" {
+		fail("--data-dir", "", "is needed with --bootstrap and --recover-alone")
+	}
+	s.checkChoices(fail)
+	if len(bad) == 0 {
+		return nil
+	}
+	slices.Sort(bad)
+	return errors.New("settings: " + strings.Join(bad, "; "))
+}
+
+func (s Settings) checkAddresses(fail func(string, any, string)) {
+	for flag, a := range map[string]string{"--listen": s.Listen, "--operators": s.Operators, "--link": s.Link} {
+		if err := api.CheckAddress(a); err != nil {
+			fail(flag, a, err.Error())
+		}
+	}
+	for _, a := range s.Join {
+		if err := api.CheckAddress(a); err != nil {
+			fail("--join", a, err.Error())
+		}
+	}
+}
+
+func (s Settings) checkKeys(fail func(string, any, string)) {
+	keys := map[string]string{"--link-key": s.LinkKey, "--operator-key": s.OperatorKey}
+	guards := map[string]string{"--link-key": s.Link, "--operator-key": s.Operators}
+	for flag, key := range keys {
+		if key == "" && !link.IsLoopback(guards[flag]) {
+			fail(flag, "", "is needed, as "+guards[flag]+" isn't on loopback")
+		}
+		if key != "" && len(key) < minKey {
+			fail(flag, "…", "must have at least 16 bytes")
+		}
+	}
+}
+
+func (s Settings) checkChoices(fail func(string, any, string)) {
+	check := func(flag, value string, names []string) {
+		if !slices.Contains(names, value) {
+			fail(flag, value, "must be one of "+strings.Join(names, ", "))
+		}
+	}
+	check("--picker", s.Picker, pick.Names())
+	check("--queue", s.Queue, queue.Names())
+	check("--retry", s.Retry, retry.Names())
+	check("--share", s.Share, share.Names())
+	check("--placer", s.Placer, place.Names())
+	check("--task-order", s.TaskOrder, order.Names())
+	check("--log-format", s.LogFormat, []string{"text", "json"})
+	check("--log-level", s.LogLevel, []string{"error", "warn", "info", "debug"})
+}
--- a/effect.go
+++ b/effect.go
@@ -21,6 +21,9 @@
 // SetHello replaces what new links open with.
 type SetHello struct{ Hello Hello }
 
+// AdoptCluster syncs which cluster the data folder belongs to.
+type AdoptCluster struct{ Cluster uint64 }
+
 // Persist syncs the hard state and entries, replacing what the log held from
 // the first of them on. Then is sent after the sync.
 type Persist struct {
@@ -119,6 +122,7 @@
 func (Send) effect()         {}
 func (Connect) effect()      {}
 func (SetHello) effect()     {}
+func (AdoptCluster) effect() {}
 func (Persist) effect()      {}
 func (SaveSnapshot) effect() {}
 func (Answer) effect()       {}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -84,7 +84,7 @@
 		e.cfg.Link.Connect(f.Daemon)
 	case notch.SetHello:
 		e.cfg.Link.SetHello(f.Hello)
-	case notch.Persist, notch.SaveSnapshot:
+	case notch.Persist, notch.SaveSnapshot, notch.AdoptCluster:
 		if e.journal != nil {
 			e.journal.put(f)
 		}
--- a/engine/journaler.go
+++ b/engine/journaler.go
@@ -54,6 +54,10 @@
 		switch f := f.(type) {
 		case notch.Persist:
 			run = append(run, f)
+		case notch.AdoptCluster:
+			if err := j.Adopt(f.Cluster); err != nil {
+				return err
+			}
 		case notch.SaveSnapshot:
 			if err := flush(); err != nil {
 				return err
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	notch "tamaracknotch"
+	"tamaracknotch/api"
+	"tamaracknotch/engine"
+)
+
+// maxAnswerHeld is the part of an answer that is held before any of it is passed
+// on, in bytes. While that is so, a failure can still be repaired by a retry.
+const maxAnswerHeld = 64 << 10
+
+// attempt sends the request to one backend server. It returns true if the caller
+// has its answer, and false if the lane has to decide again.
+func (x *exchange) attempt(call *engine.Call, d notch.Dispatch) (done bool) {
+	started := time.Now()
+	ended := notch.AttemptEnded{Attempt: d.Attempt, Server: d.Server.ID()}
+	defer func() {
+		ended.Latency = time.Since(started)
+		call.Ended(ended)
+	}()
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	var sent atomic.Bool
+	resp, err := x.send(ctx, d, &sent)
+	if err != nil {
+		ended.Outcome = x.outcomeOf(sent.Load())
+		return ended.Outcome == notch.AttemptCanceled
+	}
+	defer resp.Body.Close()
+	if refusedByServer(resp) {
+		ended.Outcome = notch.AttemptRefused
+		return false
+	}
+	held, whole, err := hold(resp.Body)
+	if err != nil {
+		ended.Outcome = x.outcomeOf(true)
+		return ended.Outcome == notch.AttemptCanceled
+	}
+	ended.Outcome = notch.AttemptOK
+	if !x.pass(resp, held, whole) {
+		ended.Outcome = notch.AttemptCut
+		if x.r.Context().Err() != nil {
+			ended.Outcome = notch.AttemptCanceled
+		}
+		// The caller must not take what it has for the whole answer.
+		panic(http.ErrAbortHandler)
+	}
+	return true
+}
+
+// outcomeOf tells a failed attempt from one whose caller went away.
+func (x *exchange) outcomeOf(sent bool) notch.AttemptOutcome {
+	switch {
+	case x.r.Context().Err() != nil:
+		return notch.AttemptCanceled
+	case sent:
+		return notch.AttemptFailed
+	default:
+		return notch.AttemptNotSent
+	}
+}
+
+func (x *exchange) send(ctx context.Context, d notch.Dispatch, sent *atomic.Bool) (*http.Response, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { sent.Store(true) },
+	})
+	out, err := http.NewRequestWithContext(ctx, x.r.Method, "http://"+d.Server.Address, nil)
+	if err != nil {
+		return nil, err
+	}
+	out.URL.Path, out.URL.RawPath, out.URL.RawQuery = x.r.URL.Path, x.r.URL.RawPath, x.r.URL.RawQuery
+	out.Header = x.r.Header.Clone()
+	removeHopHeaders(out.Header)
+	// The transport repeats a request by itself if these say that it may.
+	out.Header.Del("Idempotency-Key")
+	out.Header.Del("X-Idempotency-Key")
+	if key := x.r.Header.Get("Idempotency-Key"); key != "" {
+		out.Header["idempotency-key"] = []string{key}
+	}
+	out.Header.Add("X-Forwarded-For", hostOf(x.r.RemoteAddr))
+	out.Host = x.r.Host
+	out.Body = x.body.reader()
+	out.ContentLength = x.body.length
+	return x.h.servers.get(d).RoundTrip(out)
+}
+
+// refusedByServer reports whether the backend server says that it did not run
+// the request.
+func refusedByServer(r *http.Response) bool {
+	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(api.NotRunHeader) == "true"
+}
+
+// hold reads the beginning of an answer, or all of it if it is short.
+func hold(r io.Reader) (held []byte, whole bool, err error) {
+	held, err = io.ReadAll(io.LimitReader(r, maxAnswerHeld))
+	if err != nil {
+		return nil, false, err
+	}
+	return held, len(held) < maxAnswerHeld, nil
+}
+
+// pass writes the answer to the caller. It returns false if it was cut.
+func (x *exchange) pass(resp *http.Response, held []byte, whole bool) bool {
+	removeHopHeaders(resp.Header)
+	header := x.w.Header()
+	for k, vs := range resp.Header {
+		header[k] = vs
+	}
+	for k := range resp.Trailer {
+		header.Add("Trailer", k)
+	}
+	x.w.WriteHeader(resp.StatusCode)
+	if _, err := x.w.Write(held); err != nil && x.r.Method != http.MethodHead && len(held) > 0 {
+		return false
+	}
+	if !whole {
+		if _, err := io.Copy(flusher{x.w}, resp.Body); err != nil {
+			return false
+		}
+	}
+	for k, vs := range resp.Trailer {
+		header[k] = vs
+	}
+	return true
+}
+
+// flusher passes each part of a long answer on at once.
+type flusher struct{ w http.ResponseWriter }
+
+// Write implements io.Writer.
+func (f flusher) Write(b []byte) (int, error) {
+	n, err := f.w.Write(b)
+	if fl, ok := f.w.(http.Flusher); ok && err == nil {
+		fl.Flush()
+	}
+	return n, err
+}
+
+// hopHeaders belong to one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func removeHopHeaders(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+func hostOf(address string) string {
+	if i := strings.LastIndexByte(address, ':'); i >= 0 {
+		return address[:i]
+	}
+	return address
+}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -91,6 +91,16 @@
 	return fresh, true, j.SetIdentity(fresh)
 }
 
+// Adopt implements [notch.Journal].
+func (j *Journal) Adopt(cluster uint64) error {
+	id, _, err := j.Identity(Identity{})
+	if err != nil {
+		return err
+	}
+	id.Cluster = cluster
+	return j.SetIdentity(id)
+}
+
 // SetIdentity replaces the folder's identity.
 func (j *Journal) SetIdentity(id Identity) error {
 	text := fmt.Sprintf("storage %d\ncluster %d\n", id.Storage, id.Cluster)
--- a/member/member.go
+++ b/member/member.go
@@ -132,6 +132,7 @@
 	}
 	if p.cluster == 0 && h.Cluster != 0 {
 		p.cluster = h.Cluster
+		out = append(out, notch.AdoptCluster{Cluster: h.Cluster})
 	}
 	return p, append(out, notch.SetHello{Hello: p.Hello()})
 }
--- a/runner.go
+++ b/runner.go
@@ -9,6 +9,8 @@
 	Append(records []Persist) error
 	// SaveSnapshot syncs a snapshot and drops what it makes superfluous.
 	SaveSnapshot(s SaveSnapshot) error
+	// Adopt syncs which cluster the data folder belongs to.
+	Adopt(cluster uint64) error
 	Close() error
 }
 
--- a/share/divide.go
+++ b/share/divide.go
@@ -116,3 +116,17 @@
 	}
 	return out
 }
+
+// New returns the named divider.
+func New(name string) (notch.Divider, bool) {
+	switch name {
+	case "demand":
+		return ByDemand{Floor: DefaultFloor}, true
+	case "equal":
+		return Equal{}, true
+	}
+	return nil, false
+}
+
+// Names lists the dividers, the default first.
+func Names() []string { return []string{"demand", "equal"} }
--- a/share/entry.go
+++ b/share/entry.go
@@ -64,6 +64,9 @@
 		return p.laneLoad(e.At, b)
 	case notch.ShutdownStarted:
 		p.stopping = true
+		if p.leader != "" {
+			return p, []notch.Effect{notch.Send{To: p.leader, Message: notch.Goodbye{}}}
+		}
 	case notch.MessageReceived:
 		switch m := b.Message.(type) {
 		case notch.EntryGrant:
@@ -182,7 +185,7 @@
 }
 
 func (p Entry) report(now notch.Time) (notch.Part, []notch.Effect) {
-	if p.leader == "" || !p.acked() {
+	if p.leader == "" || p.stopping || !p.acked() {
 		return p, nil
 	}
 	p.reported = now
--- a/table/validate.go
+++ b/table/validate.go
@@ -165,3 +165,17 @@
 		c.fail(field, "is %d, must be 0 to %d", n, MaxSlots)
 	}
 }
+
+// ValidateRoutes returns what is wrong with routes in themselves.
+func ValidateRoutes(routes []notch.Route) []notch.FieldError {
+	var c checker
+	c.routes(routes)
+	return c.errs
+}
+
+// ValidatePools returns what is wrong with pools in themselves.
+func ValidatePools(pools []notch.Pool) []notch.FieldError {
+	var c checker
+	c.pools(pools)
+	return c.errs
+}
