--- a/cmd/notchload/main.go
+++ b/cmd/notchload/main.go
@@ -1,4 +1,10 @@
 // Notchload is the load and experiment tool.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"tamaracknotch/load"
+)
+
+func main() { os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/drive/drive.go
+++ b/drive/drive.go
@@ -39,7 +39,7 @@
 	Hello   notch.Hello
 
 	build  Build
-	starts int // events meant for an earlier start are dropped
+	starts int            // events meant for an earlier start are dropped
 	linked map[string]int // start of each daemon that the link stands to
 }
 
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,170 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Report is the result of a default run. Durations are in milliseconds.
+type Report struct {
+	Choices  choices          `json:"choices"`
+	Services []ServiceReport  `json:"services"`
+	Batch    BatchReport      `json:"batch"`
+	Promises []PromiseReport  `json:"promises"`
+	Examples []string         `json:"examples,omitempty"`
+	Sends    float64          `json:"sends-per-request"`
+	Counters map[string]int64 `json:"counters"`
+}
+
+// ServiceReport is what callers of one service saw.
+type ServiceReport struct {
+	Service       string         `json:"service"`
+	Requests      int            `json:"requests"`
+	P50           float64        `json:"p50-ms"`
+	P95           float64        `json:"p95-ms"`
+	P99           float64        `json:"p99-ms"`
+	CrestShare    float64        `json:"crest-served-of-capacity"`
+	ShortSlowdown float64        `json:"short-p99-slowdown"`
+	Refusals      map[string]int `json:"refusals,omitempty"`
+}
+
+// BatchReport is what became of the batch tasks.
+type BatchReport struct {
+	Tasks         int     `json:"tasks"`
+	PerSecond     float64 `json:"per-second"`
+	Evictions     int     `json:"evictions"`
+	ShortSlowdown float64 `json:"short-p99-slowdown"`
+	UrgentStart   float64 `json:"urgent-start-p99-ms"`
+}
+
+// PromiseReport counts how often a promise was checked, and found broken.
+type PromiseReport struct {
+	Promise    string `json:"promise"`
+	Checks     int    `json:"checks"`
+	Violations int    `json:"violations"`
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// quantile returns the q-quantile of values, which it sorts, or 0 if there are none.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[min(int(q*float64(len(values))), len(values)-1)]
+}
+
+// report sums up what the callers of a profile saw.
+func (c *callers) report() ServiceReport {
+	r := ServiceReport{Service: c.profile.name, Requests: len(c.samples), Refusals: c.refusal}
+	var latency, slow []float64
+	crest := 0
+	for _, s := range c.samples {
+		if s.ok {
+			latency = append(latency, ms(s.latency))
+		}
+		if s.ok && s.short && s.work == c.profile.short {
+			slow = append(slow, float64(s.latency)/float64(s.work))
+		}
+		if s.ok && atCrest(s.at) {
+			crest++
+		}
+	}
+	r.P50, r.P95, r.P99 = quantile(latency, 0.5), quantile(latency, 0.95), quantile(latency, 0.99)
+	r.ShortSlowdown = quantile(slow, 0.99)
+	if span := c.crestSpan(); span > 0 {
+		r.CrestShare = float64(crest) / (c.profile.capacity() * span.Seconds())
+	}
+	return r
+}
+
+// atCrest reports whether the demand is at or above the capacity.
+func atCrest(t time.Duration) bool { return demandAt(t) >= 1 }
+
+// crestSpan is how long the demand was at the crest during the load.
+func (c *callers) crestSpan() time.Duration {
+	const step = 10 * time.Millisecond
+	span, last := time.Duration(0), time.Duration(0)
+	for _, s := range c.samples {
+		last = max(last, s.at)
+	}
+	for t := time.Duration(0); t < last; t += step {
+		if atCrest(t) {
+			span += step
+		}
+	}
+	return span
+}
+
+func (b *batchLoad) report(span time.Duration) BatchReport {
+	var r BatchReport
+	var slow, urgent []float64
+	for _, t := range b.tasks {
+		done, ok := b.site.place.done[t.id]
+		if !ok {
+			continue
+		}
+		r.Tasks++
+		took := done.Sub(t.submitted)
+		if t.urgent {
+			urgent = append(urgent, ms(took-t.work))
+		} else if t.short {
+			slow = append(slow, float64(took)/float64(t.work))
+		}
+	}
+	r.PerSecond = float64(r.Tasks) / span.Seconds()
+	r.Evictions = b.site.place.stops
+	r.ShortSlowdown, r.UrgentStart = quantile(slow, 0.99), quantile(urgent, 0.99)
+	return r
+}
+
+func (c *checker) report() (out []PromiseReport) {
+	for _, p := range promises {
+		out = append(out, PromiseReport{Promise: string(p), Checks: c.checks[p], Violations: c.violations[p]})
+	}
+	return out
+}
+
+// Print writes the report as tables.
+func (r Report) Print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "service\trequests\tp50 ms\tp95 ms\tp99 ms\tserved of capacity at the crest\tp99 slowdown of short\t")
+	for _, s := range r.Services {
+		fmt.Fprintf(t, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.0f%%\t%.1f\t\n", s.Service, s.Requests, s.P50, s.P95, s.P99, 100*s.CrestShare, s.ShortSlowdown)
+	}
+	t.Flush()
+	b := r.Batch
+	fmt.Fprintf(w, "\nbatch: %d tasks, %.1f a second, %d evictions, p99 slowdown of short %.1f, urgent start p99 %.0f ms\n",
+		b.Tasks, b.PerSecond, b.Evictions, b.ShortSlowdown, b.UrgentStart)
+	fmt.Fprintf(w, "sends per request: %.3f\n\n", r.Sends)
+	t = tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "promise\tchecks\tviolations")
+	for _, p := range r.Promises {
+		fmt.Fprintf(t, "%s\t%d\t%d\n", p.Promise, p.Checks, p.Violations)
+	}
+	t.Flush()
+	for _, e := range r.Examples {
+		fmt.Fprintln(w, "violated:", e)
+	}
+}
+
+func writeJSON(name string, out io.Writer, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode report")
+	}
+	b = append(b, '\n')
+	if name == "-" {
+		_, err = out.Write(b)
+		return err
+	}
+	return errors.Wrap(os.WriteFile(name, b, 0o644), "write report")
+}
