--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,55 +19,120 @@
 // on, in bytes. While that is so, a failure can still be repaired by a retry.
 const maxAnswerHeld = 64 << 10
 
+// fetched is what an attempt brought: an answer with its beginning, or a failure.
+type fetched struct {
+	resp    *http.Response // nil for a failure
+	held    []byte
+	whole   bool
+	outcome notch.AttemptOutcome
+}
+
+// flight is an attempt under way. It goes on after its caller has been answered
+// for lack of time, since the backend server's slot is in use until it ends.
+type flight struct {
+	x      *exchange
+	call   *engine.Call
+	ended  notch.AttemptEnded
+	began  time.Time
+	cancel context.CancelFunc
+	result chan fetched
+}
+
 // attempt sends the request to one backend server. It returns true if the caller
 // has its answer, and false if the lane has to decide again.
 func (x *exchange) attempt(call *engine.Call, d notch.Dispatch) (done bool) {
-	started := time.Now()
-	ended := notch.AttemptEnded{Attempt: d.Attempt, Server: d.Server.ID()}
-	defer func() {
-		ended.Latency = time.Since(started)
-		call.Ended(ended)
-	}()
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	defer cancel()
+	f := x.launch(call, d)
+	late := time.NewTimer(time.Until(x.deadline))
+	defer late.Stop()
+	select {
+	case r := <-f.result:
+		return f.land(r)
+	case <-late.C:
+		go f.abandon()
+		x.timedOut()
+	case <-x.r.Context().Done():
+		go f.abandon()
+	}
+	return true
+}
+
+// launch starts an attempt, which may last as long again as the request.
+func (x *exchange) launch(call *engine.Call, d notch.Dispatch) *flight {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.r.Context()), x.deadline.Add(x.route.Timeout))
+	f := &flight{
+		x: x, call: call, began: time.Now(), cancel: cancel, result: make(chan fetched, 1),
+		ended: notch.AttemptEnded{Attempt: d.Attempt, Server: d.Server.ID()},
+	}
+	go func() { f.result <- x.fetch(ctx, d) }()
+	return f
+}
+
+// fetch sends the request and reads the beginning of the answer.
+func (x *exchange) fetch(ctx context.Context, d notch.Dispatch) fetched {
 	var sent atomic.Bool
 	resp, err := x.send(ctx, d, &sent)
 	if err != nil {
-		ended.Outcome = x.outcomeOf(sent.Load())
-		return ended.Outcome == notch.AttemptCanceled
+		if sent.Load() {
+			return fetched{outcome: notch.AttemptFailed}
+		}
+		return fetched{outcome: notch.AttemptNotSent}
 	}
-	defer resp.Body.Close()
 	if refusedByServer(resp) {
-		ended.Outcome = notch.AttemptRefused
-		return false
+		resp.Body.Close()
+		return fetched{outcome: notch.AttemptRefused}
 	}
 	held, whole, err := hold(resp.Body)
 	if err != nil {
-		ended.Outcome = x.outcomeOf(true)
-		return ended.Outcome == notch.AttemptCanceled
-	}
-	ended.Outcome = notch.AttemptOK
-	if !x.pass(resp, held, whole) {
-		ended.Outcome = notch.AttemptCut
-		if x.r.Context().Err() != nil {
-			ended.Outcome = notch.AttemptCanceled
-		}
-		// The caller must not take what it has for the whole answer.
-		panic(http.ErrAbortHandler)
+		resp.Body.Close()
+		return fetched{outcome: notch.AttemptFailed}
 	}
-	return true
+	return fetched{resp: resp, held: held, whole: whole}
+}
+
+// end says how the attempt ended.
+func (f *flight) end(o notch.AttemptOutcome) {
+	f.cancel()
+	f.ended.Outcome, f.ended.Latency = o, time.Since(f.began)
+	f.call.Ended(f.ended)
+}
+
+// land passes an answer on, or leaves a failure to the lane.
+func (f *flight) land(r fetched) (done bool) {
+	if r.resp == nil {
+		f.end(r.outcome)
+		return false
+	}
+	defer r.resp.Body.Close()
+	if f.x.pass(r.resp, r.held, r.whole) {
+		f.end(notch.AttemptOK)
+		return true
+	}
+	f.end(notch.AttemptCut)
+	// The caller must not take what it has for the whole answer.
+	panic(http.ErrAbortHandler)
+}
+
+// abandon waits for the end of an attempt whose answer nobody awaits.
+func (f *flight) abandon() {
+	r := <-f.result
+	if r.resp == nil {
+		f.end(notch.AttemptCut)
+		return
+	}
+	defer r.resp.Body.Close()
+	if _, err := io.Copy(io.Discard, r.resp.Body); err != nil {
+		f.end(notch.AttemptCut)
+		return
+	}
+	f.end(notch.AttemptOK)
 }
 
-// outcomeOf tells a failed attempt from one whose caller went away.
-func (x *exchange) outcomeOf(sent bool) notch.AttemptOutcome {
-	switch {
-	case x.r.Context().Err() != nil:
-		return notch.AttemptCanceled
-	case sent:
-		return notch.AttemptFailed
-	default:
-		return notch.AttemptNotSent
+// timedOut answers a caller whose request is still under way at its deadline.
+func (x *exchange) timedOut() {
+	if !x.repeat {
+		x.w.Header().Set(api.OutcomeHeader, api.Unknown)
 	}
+	refuse(x.w, http.StatusGatewayTimeout, "no answer within the route's timeout", false, 0)
 }
 
 func (x *exchange) send(ctx context.Context, d notch.Dispatch, sent *atomic.Bool) (*http.Response, error) {
--- a/load/backend.go
+++ b/load/backend.go
@@ -37,6 +37,7 @@
 	inFlight atomic.Int64
 	conns    atomic.Int64
 	quietBy  atomic.Int64 // unix nanoseconds from which nothing new may come; 0: none
+	tooLate  atomic.Int64 // requests that came after quietBy
 	leaving  atomic.Bool
 	stop     context.CancelFunc
 	done     sync.WaitGroup
@@ -112,8 +113,8 @@
 	n := b.inFlight.Add(1)
 	defer b.inFlight.Add(-1)
 	b.check.check(hostLimits, n <= int64(b.Slots), "%s has %d requests in %d slots", b.Name, n, b.Slots)
-	if by := b.quietBy.Load(); by != 0 {
-		b.check.check(drained, time.Now().UnixNano() < by, "%s got a request %v too late", b.Name, time.Duration(time.Now().UnixNano()-by))
+	if by := b.quietBy.Load(); by != 0 && time.Now().UnixNano() >= by {
+		b.tooLate.Add(1)
 	}
 	nonce := r.Header.Get(headerNonce)
 	b.runs.add(nonce)
--- a/load/report.go
+++ b/load/report.go
@@ -74,7 +74,7 @@
 		if s.ok && s.short && s.work == c.profile.short {
 			slow = append(slow, float64(s.latency)/float64(s.work))
 		}
-		if s.ok && atCrest(s.at) {
+		if s.ok && atCrest(s.at+s.latency) {
 			crest++
 		}
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -126,6 +126,11 @@
 		r.Services = append(r.Services, c.report())
 	}
 	batch.settle()
+	for _, b := range x.backends {
+		if b.quietBy.Load() != 0 {
+			x.check.check(drained, b.tooLate.Load() == 0, "%s got %d requests too late", b.Name, b.tooLate.Load())
+		}
+	}
 	r.Batch = batch.report(x.settings.Duration)
 	if n := r.Counters["requests"]; n > 0 {
 		r.Sends = float64(r.Counters["sends"]) / float64(n)
--- a/share/leader.go
+++ b/share/leader.go
@@ -196,13 +196,14 @@
 // firstTerm is the term of the first leader that a new cluster elects.
 const firstTerm = 2
 
-// longest returns the longest time that a request may be in flight.
+// longest returns the longest time that a request may occupy a slot: an attempt
+// may go on for another timeout after its caller was answered.
 func (p Leader) longest() time.Duration {
 	var d time.Duration
 	for _, r := range p.tables.Routes {
 		d = max(d, r.Timeout)
 	}
-	return d
+	return 2 * d
 }
 
 // divide recomputes the targets, if the last ones are old.
