Keep what the leader tells apart from the replicated tables

Cause: a replica that lagged took the tables of a grant into its replicated state and then applied the log's edits on top, so that a resent edit got a second answer. Now the tables by the log and the tables in force are two fields, and decisions that all replicas share use the first.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -156,7 +156,7 @@
 		s.apply(b.Entry)
 	case notch.Restored:
 		s.restore(b.Snapshot)
-	case notch.TablesApplied:
+	case notch.TablesCommitted:
 		s.tables = b.Tables
 		s.dirty = true
 	case notch.Leadership:
--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -182,7 +182,7 @@
 		s.saveSnapshot(b.Snapshot)
 	case notch.SnapshotSaved:
 		s.log = s.log.withoutPrefix(s.keepFrom(b.Index))
-	case notch.TablesApplied:
+	case notch.TablesCommitted:
 		s.wanted(b.Tables)
 	case notch.ReplicaSeen:
 		s.sawReplica(b.Replica)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -52,6 +52,9 @@
 func New(cfg Config, recovered *notch.Recovered) *Engine {
 	e := &Engine{cfg: cfg, waiting: map[uint64]chan notch.Effect{}, callers: map[uint64]chan notch.Effect{}}
 	e.tables.Store(&notch.Tables{})
+	// An answer that is under way to an earlier process of this name must not
+	// match a call of this one.
+	e.tickets.Store(notch.Mix(cfg.Seed) >> 1)
 	if cfg.Journal != nil {
 		e.journal = newJournaler(cfg.Journal, e.Post, e.send)
 	}
--- a/event.go
+++ b/event.go
@@ -151,7 +151,11 @@
 	Contact Time // a quorum answered a message sent at this instant
 }
 
-// TablesApplied says that a revision of the tables is in force here.
+// TablesCommitted is a revision as the replicated log gives it, on a replica.
+type TablesCommitted struct{ Tables Tables }
+
+// TablesApplied says that a revision of the tables is in force here: the latest
+// that the log gave or the leader told.
 type TablesApplied struct{ Tables Tables }
 
 // TablesLearned is a revision that the leader told.
@@ -248,6 +252,7 @@
 func (Applied) body()          {}
 func (LeaderChanged) body()    {}
 func (Leadership) body()       {}
+func (TablesCommitted) body()  {}
 func (TablesApplied) body()    {}
 func (TablesLearned) body()    {}
 func (ReplicasChanged) body()  {}
--- a/share/leader.go
+++ b/share/leader.go
@@ -77,7 +77,7 @@
 			p.entries, p.targets = nil, nil
 		}
 		p.leading = b
-	case notch.TablesApplied:
+	case notch.TablesCommitted:
 		p.tables, p.divided = b.Tables, 0
 	case notch.ServersChanged:
 		p.servers, p.divided = b.Servers, 0
--- a/table/table.go
+++ b/table/table.go
@@ -15,20 +15,22 @@
 	at notch.Time
 }
 
-// Part holds the tables. On a replica it applies committed edits; elsewhere it
-// follows what the leader tells.
+// Part holds the tables. On a replica it applies committed edits. What the leader
+// tells is kept apart from that: it may be ahead of this replica's log, and must
+// not mix with the state that every replica computes alike.
 type Part struct {
-	tables notch.Tables
-	routes stamp
-	pools  stamp
-	edits  edits
+	tables  notch.Tables // by the log
+	inForce notch.Tables // the latest, by the log or by the leader
+	routes  stamp
+	pools   stamp
+	edits   edits
 }
 
 // New returns empty tables at revision 0.
 func New() Part { return Part{edits: newEdits()} }
 
 // Tables returns the revision in force.
-func (p Part) Tables() notch.Tables { return p.tables }
+func (p Part) Tables() notch.Tables { return p.inForce }
 
 // Step implements [notch.Part].
 func (p Part) Step(e notch.Event) (notch.Part, []notch.Effect) {
@@ -38,19 +40,27 @@
 	case notch.Restored:
 		return p.restore(b.Snapshot)
 	case notch.TablesLearned:
-		// Only a later revision is taken, so that none ever reverts.
-		if b.Tables.Revision <= p.tables.Revision {
-			return p, nil
-		}
-		p.tables = b.Tables
-		return p, p.announce()
+		return p.enforce(b.Tables)
 	}
 	return p, nil
 }
 
-func (p Part) announce() []notch.Effect {
-	applied := notch.TablesApplied{Tables: p.tables}
-	return []notch.Effect{notch.Emit{Body: applied}, notch.ToLanes{Body: applied}}
+// enforce puts tables in force. Only a later revision is taken, so that none ever
+// reverts.
+func (p Part) enforce(t notch.Tables) (Part, []notch.Effect) {
+	if t.Revision <= p.inForce.Revision {
+		return p, nil
+	}
+	p.inForce = t
+	applied := notch.TablesApplied{Tables: t}
+	return p, []notch.Effect{notch.Emit{Body: applied}, notch.ToLanes{Body: applied}}
+}
+
+// committed tells the other parts of the tables by the log.
+func (p Part) committed() (Part, []notch.Effect) {
+	out := []notch.Effect{notch.Emit{Body: notch.TablesCommitted{Tables: p.tables}}}
+	p, more := p.enforce(p.tables)
+	return p, append(out, more...)
 }
 
 func (p Part) apply(e notch.Entry) (notch.Part, []notch.Effect) {
@@ -63,7 +73,7 @@
 		before := p.tables.Revision
 		p, r = p.edit(c, e.At)
 		if p.tables.Revision != before {
-			out = p.announce()
+			p, out = p.committed()
 		}
 	case notch.Noop, notch.ChangeReplicas:
 		r = notch.Done{}
@@ -132,5 +142,5 @@
 			p.edits = p.edits.with(r)
 		}
 	}
-	return p, p.announce()
+	return p.committed()
 }
