--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -14,6 +14,7 @@
 	next     uint64     // next index to send
 	contact  notch.Time // when the latest answered message was sent
 	lastSent notch.Time
+	rejected notch.Time // when the latest message was sent that it rejected
 	sentSnap notch.Time // when a snapshot was sent that isn't answered yet; zero: none
 }
 
@@ -259,11 +260,7 @@
 	pr := s.progress[i]
 	pr.contact = max(pr.contact, m.SentAt)
 	if !m.OK {
-		pr.next = min(m.Match, s.log.lastIndex()) + 1
-		pr.next = max(pr.next, pr.match+1)
-		s.setProgress(i, pr)
-		s.sendAppend(i)
-		s.updateContact()
+		s.rejected(i, pr, m)
 		return
 	}
 	pr.match = max(pr.match, m.Match)
@@ -279,6 +276,20 @@
 	}
 }
 
+// rejected goes back to where the follower's log may agree. Each send is answered
+// by at most one further send, and none while a snapshot is under way: replies
+// that arrive twice must not multiply.
+func (s *stepper) rejected(i int, pr progress, m notch.AppendReply) {
+	again := m.SentAt > pr.rejected && (pr.sentSnap == 0 || m.Match >= s.log.base)
+	pr.rejected = max(pr.rejected, m.SentAt)
+	pr.next = max(min(m.Match, s.log.lastIndex())+1, pr.match+1)
+	s.setProgress(i, pr)
+	if again {
+		s.sendAppend(i)
+	}
+	s.updateContact()
+}
+
 // advanceCommit commits what a quorum has synced, if it is of this term.
 func (s *stepper) advanceCommit() {
 	var synced []uint64
