--- a/batch/batch.go
+++ b/batch/batch.go
@@ -194,3 +194,9 @@
 
 // acts reports whether this replica decides now.
 func (s *stepper) acts() bool { return s.leading.Leading && s.leading.Ready != 0 }
+
+// Task returns a task.
+func (p Part) Task(id notch.TaskID) (notch.Task, bool) { return p.tasks.Get(id) }
+
+// Worker returns a registered worker.
+func (p Part) Worker(name string) (notch.Worker, bool) { return p.workers.Get(name) }
--- a/fake/fake.go
+++ b/fake/fake.go
@@ -53,6 +53,7 @@
 	nextID   uint64
 	running  map[notch.TaskID]string // worker on which a task runs now
 	finished map[notch.TaskID]int
+	died     map[string]bool // workers that were killed at some time
 }
 
 // New returns a site without daemons.
@@ -61,7 +62,7 @@
 		World: drive.New(seed), Policies: DefaultPolicies(),
 		Backends: map[string]*Backend{}, Workers: map[string]*Worker{}, Counters: map[string]int64{},
 		calls: map[uint64]func(notch.Effect){}, requests: map[requestKey]*exchange{},
-		running: map[notch.TaskID]string{}, finished: map[notch.TaskID]int{},
+		running: map[notch.TaskID]string{}, finished: map[notch.TaskID]int{}, died: map[string]bool{},
 	}
 	s.OnEffect = s.effect
 	return s
--- a/fake/worker.go
+++ b/fake/worker.go
@@ -60,6 +60,7 @@
 
 // KillWorker ends a host and every task on it.
 func (s *Site) KillWorker(w *Worker) {
+	s.died[w.Name] = true
 	w.Up = false
 	w.life++
 	for te := range w.tasks {
@@ -283,7 +284,8 @@
 func (s *Site) enforceLease(w *Worker) {
 	if s.clock(w) < w.until {
 		life, until := w.life, w.until
-		s.After(time.Duration(float64(w.until.Sub(s.clock(w)))/(1+w.Drift)), func() {
+		left := time.Duration(float64(w.until.Sub(s.clock(w))) / (1 + w.Drift))
+		s.After(left+time.Microsecond, func() {
 			if w.life == life && w.until == until {
 				s.enforceLease(w)
 			}
