--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -207,7 +207,7 @@
 	case notch.InstallSnapshot:
 		s.onSnapshot(m)
 	case notch.TimeoutNow:
-		if m.Term == s.hard.Term && s.isVoter() {
+		if m.Term == s.hard.Term && s.isVoter() && !s.stopping {
 			s.handOver = true
 			s.campaign(candidate)
 		}
--- /dev/null
+++ b/ctl/script_test.go
@@ -0,0 +1,179 @@
+package ctl_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"tamaracknotch/api"
+	"tamaracknotch/client"
+	"tamaracknotch/ctl"
+	"tamaracknotch/daemon"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"notchctl": func() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"notchd":   func() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"backend":  func() { os.Exit(backend(os.Args[1:])) },
+		"worker":   func() { os.Exit(worker(os.Args[1:])) },
+		"call":     func() { os.Exit(call(os.Args[1:])) },
+	})
+}
+
+func TestPrograms(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script", Setup: ports,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"await": await},
+	})
+}
+
+// ports sets P1 to P9 to free ports. Each is held until here, so that scripts that
+// run side by side don't get the same.
+func ports(e *testscript.Env) error {
+	var held []net.Listener
+	for i := 1; i <= 9; i++ {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		held = append(held, l)
+		e.Setenv(fmt.Sprintf("P%d", i), l.Addr().String())
+	}
+	for _, l := range held {
+		l.Close()
+	}
+	e.Setenv("NOTCH_SERVERS", e.Getenv("P2"))
+	e.Setenv("NOTCH_CALLERS", e.Getenv("P1"))
+	e.Setenv("NOTCH_DRAIN_DELAY", "0s")
+	return nil
+}
+
+// awaitPatience bounds a wait for something that has to come about.
+const awaitPatience = 30 * time.Second
+
+// await runs a program until it ends with 0.
+func await(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: await PROGRAM ARGS...")
+	}
+	deadline := time.Now().Add(awaitPatience)
+	for {
+		err := ts.Exec(args[0], args[1:]...)
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%v: still %v", args, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func untilSignal() context.Context {
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	return ctx
+}
+
+// backend ENTRY NAME POOL: answers with its name and the path, slowly for /slow.
+func backend(args []string) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 1
+	}
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		if r.URL.Query().Has("slow") {
+			time.Sleep(1500 * time.Millisecond)
+		}
+		if r.URL.Query().Has("cut") {
+			w.Header().Set("Content-Length", "100000")
+			w.Write(make([]byte, 70_000))
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "%s %s %s %s\n", args[1], r.Method, r.URL.Path, b)
+	}))
+	ctx := untilSignal()
+	c := client.New([]string{args[0]})
+	for ctx.Err() == nil {
+		c.Announce(ctx, api.BackendServer{
+			Name: args[1], Incarnation: 1, Address: l.Addr().String(), Host: "host-" + args[1], FailureDomain: "north",
+			Pool: args[2], Slots: 8, Connections: 64,
+		})
+		time.Sleep(200 * time.Millisecond)
+	}
+	return 0
+}
+
+// worker ENTRY NAME POOL: ends every task at the next heartbeat.
+func worker(args []string) int {
+	ctx := untilSignal()
+	c := client.New([]string{args[0]})
+	reports := map[api.Attempt]api.Report{}
+	for ctx.Err() == nil {
+		h := api.Heartbeat{Worker: api.Worker{
+			Incarnation: 1, Pool: args[2], FailureDomain: "north", Size: api.Resources{MilliCPU: 4000, MemoryMB: 4000},
+		}}
+		for _, r := range reports {
+			h.Reports = append(h.Reports, r)
+		}
+		if reply, err := c.Heartbeat(ctx, args[1], h); err == nil {
+			for _, s := range reply.Settled {
+				delete(reports, api.Attempt{Task: s.Task, Epoch: s.Epoch})
+			}
+			for _, o := range reply.Orders {
+				a := api.Attempt{Task: o.Task, Epoch: o.Epoch}
+				reports[a] = api.Report{Task: o.Task, Epoch: o.Epoch, Kind: "finished"}
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return 0
+}
+
+// call [-id ID] METHOD URL [BODY]: prints status, the headers that matter and body.
+func call(args []string) int {
+	id := ""
+	if args[0] == "-id" {
+		id, args = args[1], args[2:]
+	}
+	var body io.Reader
+	if len(args) > 2 {
+		f, err := os.Open(args[2])
+		if err != nil {
+			return 1
+		}
+		defer f.Close()
+		body = f
+	}
+	req, err := http.NewRequest(args[0], args[1], body)
+	if err != nil {
+		return 1
+	}
+	if id != "" {
+		req.Header.Set(api.RequestID, id)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	b, err := io.ReadAll(resp.Body)
+	fmt.Printf("status %d\nnot-run %s\noutcome %s\n%s", resp.StatusCode, resp.Header.Get(api.NotRunHeader), resp.Header.Get(api.OutcomeHeader), b)
+	if err != nil {
+		fmt.Println("broken:", err)
+	}
+	if resp.StatusCode >= 400 || err != nil {
+		return 1
+	}
+	return 0
+}
