--- /dev/null
+++ b/wire/fuzz_test.go
@@ -0,0 +1,77 @@
+package wire
+
+import (
+	"reflect"
+	"testing"
+
+	notch "tamaracknotch"
+)
+
+// examples holds a value of each kind that contains others behind interfaces.
+var examples = []notch.Message{
+	notch.AppendRequest{Term: 3, Leader: "a", Entries: []notch.Entry{
+		{Index: 1, Term: 3, Command: notch.Noop{}},
+		{Index: 2, Term: 3, Origin: "b", Command: notch.SubmitJob{Job: notch.Job{ID: "j", Size: notch.Resources{MilliCPU: 1}}}},
+	}},
+	notch.Forward{Ticket: 1, Command: notch.EditTable{ID: "e", Table: notch.RoutesTable, Routes: []notch.Route{{Name: "r"}}}},
+	notch.Outcome{Ticket: 1, Result: notch.EditResult{Outcome: notch.EditConflict, Version: 4}},
+	notch.InstallSnapshot{Term: 1, Snapshot: notch.Snapshot{Index: 9, Images: []notch.Image{notch.TablesImage{RoutesBy: "x"}, notch.BatchImage{Seq: 2}}}},
+	notch.Hello{Daemon: notch.Daemon{Name: "a"}, Storage: 1}, notch.EntryGrant{Tables: &notch.Tables{Revision: 2}},
+	notch.WorkerRequest{Beat: notch.Heartbeat{Running: []notch.TaskEpoch{{Task: "j/0", Epoch: 1}}}},
+}
+
+func TestRoundTrip(t *testing.T) {
+	for _, want := range examples {
+		b, err := EncodeMessage(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := DecodeMessage(b)
+		if err != nil {
+			t.Fatalf("%T: %v", want, err)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+}
+
+func FuzzDecodeMessage(f *testing.F) {
+	for _, m := range examples {
+		b, _ := EncodeMessage(m)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := DecodeMessage(b)
+		if err != nil {
+			return
+		}
+		if _, err := EncodeMessage(m); err != nil {
+			t.Errorf("decoded %+v, which can't be encoded: %v", m, err)
+		}
+	})
+}
+
+func FuzzDecodeRecords(f *testing.F) {
+	b, _ := EncodeRecords([]Record{{Hard: notch.HardState{Term: 1}, Entries: []notch.Entry{{Index: 1, Command: notch.Noop{}}}}})
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		rs, err := DecodeRecords(b)
+		if err != nil {
+			return
+		}
+		for _, r := range rs {
+			for _, e := range r.Entries {
+				if e.Command == nil {
+					t.Error("decoded an entry without a command")
+				}
+			}
+		}
+	})
+}
+
+func FuzzDecodeSnapshot(f *testing.F) {
+	b, _ := EncodeSnapshot(notch.Snapshot{Index: 1, Images: []notch.Image{notch.ClaimsImage{}}})
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) { DecodeSnapshot(b) })
+}
