--- a/batch/apply.go
+++ b/batch/apply.go
@@ -172,6 +172,7 @@
 			continue
 		}
 		s.change(rec.Job, t, t.WithPlacement(w, at))
+		s.watchLease(attempt{w.Name, w.Incarnation})
 	}
 }
 
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -192,8 +192,11 @@
 	}
 }
 
-// acts reports whether this replica decides now.
-func (s *stepper) acts() bool { return s.leading.Leading && s.leading.Ready != 0 }
+// acts reports whether this replica decides now: it leads, and a quorum said so
+// within a lease.
+func (s *stepper) acts() bool {
+	return s.leading.Leading && s.leading.Ready != 0 && s.leaseAt() > 0
+}
 
 // Task returns a task.
 func (p Part) Task(id notch.TaskID) (notch.Task, bool) { return p.tasks.Get(id) }
--- a/batch/beat.go
+++ b/batch/beat.go
@@ -170,7 +170,7 @@
 // runs and what it should run.
 func (s *stepper) orders(h notch.Heartbeat) []notch.Order {
 	ids, _ := s.onWorker.Get(h.Worker.Name)
-	var out []notch.Order
+	var stops, starts []notch.Order
 	wanted := map[notch.TaskEpoch]bool{}
 	for _, id := range ids {
 		t, _ := s.tasks.Get(id)
@@ -180,15 +180,16 @@
 		te := notch.TaskEpoch{Task: t.ID, Epoch: t.Epoch}
 		wanted[te] = true
 		if o, ok := s.order(t, slices.Contains(h.Running, te)); ok {
-			out = append(out, o)
+			starts = append(starts, o)
 		}
 	}
 	for _, te := range h.Running {
 		if !wanted[te] {
-			out = append(out, notch.Order{Kind: notch.OrderStop, Task: te.Task, Epoch: te.Epoch})
+			stops = append(stops, notch.Order{Kind: notch.OrderStop, Task: te.Task, Epoch: te.Epoch})
 		}
 	}
-	return out
+	// What is no longer wanted stops before its room is used again.
+	return append(stops, starts...)
 }
 
 func (s *stepper) order(t notch.Task, running bool) (notch.Order, bool) {
@@ -235,6 +236,14 @@
 	}
 }
 
+// watchLease makes sure that an incarnation which got tasks has a lease to run
+// out, even if the last one known ended before the placement was committed.
+func (s *stepper) watchLease(key attempt) {
+	if _, ok := s.beats.Get(key); !ok && s.acts() {
+		s.beats = s.beats.Set(key, beat{until: s.now.Add(s.withDrift(s.timing.Lease))})
+	}
+}
+
 func (s *stepper) holdsTasks(key attempt) bool {
 	ids, _ := s.onWorker.Get(key.worker)
 	return slices.ContainsFunc(ids, func(id notch.TaskID) bool {
--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -176,6 +176,7 @@
 	case notch.Persisted:
 		s.onPersisted(b)
 	case notch.PersistFailed:
+		s.stepDown("")
 		s.failed = true
 		s.notice("journal failed; this replica takes no further part: " + b.Reason)
 	case notch.SnapshotTaken:
--- a/fake/traffic.go
+++ b/fake/traffic.go
@@ -16,7 +16,7 @@
 	Up       bool
 	Failing  bool // takes requests and drops the connection
 	Silent   bool // no longer announces itself
-	Service  func() time.Duration
+	Service  func(kind string) time.Duration
 	InFlight int
 	Most     int            // largest InFlight seen
 	Runs     map[uint64]int // by request
@@ -25,7 +25,7 @@
 }
 
 // AddBackend starts a backend server that announces itself through any daemon.
-func (s *Site) AddBackend(b notch.BackendServer, service func() time.Duration) *Backend {
+func (s *Site) AddBackend(b notch.BackendServer, service func(kind string) time.Duration) *Backend {
 	x := &Backend{BackendServer: b, Service: service, Runs: map[uint64]int{}}
 	s.Backends[b.Name] = x
 	s.StartBackend(x)
@@ -160,7 +160,7 @@
 		s.violate("backend server %s has %d requests in %d slots", b.Name, b.InFlight, b.Slots)
 	}
 	life := b.life
-	service := b.Service()
+	service := b.Service(x.request.Kind)
 	if b.Failing {
 		service = time.Millisecond
 	}
--- a/fake/work_test.go
+++ b/fake/work_test.go
@@ -51,7 +51,7 @@
 	b := notch.BackendServer{
 		Name: fmt.Sprintf("s%d", i), Address: "x", Host: fmt.Sprintf("h%d", i), Domain: domain, Pool: "sale", Slots: 4, Connections: 32,
 	}
-	w.backends = append(w.backends, w.AddBackend(b, func() time.Duration {
+	w.backends = append(w.backends, w.AddBackend(b, func(string) time.Duration {
 		d := time.Duration(w.Rand.ExpFloat64() * float64(30*time.Millisecond))
 		if w.Rand.IntN(50) == 0 {
 			d *= 30
--- a/fake/worker.go
+++ b/fake/worker.go
@@ -23,6 +23,7 @@
 	tasks   map[notch.TaskEpoch]*run
 	reports []notch.TaskReport
 	until   notch.Time // of the lease, by the worker's clock
+	obeyed  notch.Time // when the heartbeat was sent whose answer was obeyed last
 	life    int
 }
 
@@ -54,7 +55,7 @@
 	w.life++
 	w.tasks = map[notch.TaskEpoch]*run{}
 	w.reports = nil
-	w.until = 0
+	w.until, w.obeyed = 0, 0
 	s.beating(w, w.life)
 }
 
@@ -128,6 +129,11 @@
 // obey carries out the answer to a heartbeat that was sent at an instant of the
 // worker's clock.
 func (s *Site) obey(w *Worker, sent notch.Time, r notch.HeartbeatReply) {
+	if sent <= w.obeyed {
+		// An answer to an earlier heartbeat came late: its orders are outdated.
+		return
+	}
+	w.obeyed = sent
 	if r.Lease > 0 {
 		w.until = max(w.until, sent.Add(r.Lease))
 	}
--- a/load/main.go
+++ b/load/main.go
@@ -6,6 +6,8 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/pkg/errors"
+
+	"tamaracknotch/experiment"
 )
 
 // The exit codes of notchload.
@@ -17,6 +19,12 @@
 
 type args struct {
 	settings
+	Experiment *experimentCmd `arg:"subcommand:experiment" help:"measure decisions in virtual time beside their baselines"`
+}
+
+type experimentCmd struct {
+	Name string `arg:"positional,required" help:"traffic, batch, control or capacity"`
+	Full bool   `arg:"--full" help:"at the users' full size; takes minutes"`
 }
 
 // Description implements go-arg's Described.
@@ -39,7 +47,7 @@
 	}
 	err = parser.Parse(argv)
 	if errors.Is(err, arg.ErrHelp) {
-		parser.WriteHelp(out)
+		parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
 		return exitOK
 	}
 	if err == nil {
@@ -49,9 +57,32 @@
 		fmt.Fprintln(errOut, "notchload:", err)
 		return exitUsage
 	}
+	if a.Experiment != nil {
+		return runExperiment(a, out, errOut)
+	}
 	return defaultRun(a.settings, out, errOut)
 }
 
+func runExperiment(a args, out, errOut io.Writer) int {
+	tables, err := experiment.Run(a.Experiment.Name, a.Experiment.Full, a.Seed)
+	if err != nil {
+		fmt.Fprintln(errOut, "notchload:", err)
+		return exitUsage
+	}
+	if a.JSON != "" {
+		if err := writeJSON(a.JSON, out, tables); err != nil {
+			fmt.Fprintln(errOut, "notchload:", err)
+			return exitBroken
+		}
+	}
+	if a.JSON != "-" {
+		for _, t := range tables {
+			t.Print(out)
+		}
+	}
+	return exitOK
+}
+
 func defaultRun(s settings, out, errOut io.Writer) int {
 	report, err := run(s, errOut)
 	if err != nil {
--- a/script/traffic.go
+++ b/script/traffic.go
@@ -12,7 +12,7 @@
 func (r *run) backend(args []string) {
 	slots := r.number(args[3])
 	mean := float64(r.number(args[4])) * float64(time.Millisecond)
-	service := func() time.Duration { return time.Duration(mean * (0.5 + r.Rand.Float64())) }
+	service := func(string) time.Duration { return time.Duration(mean * (0.5 + r.Rand.Float64())) }
 	r.AddBackend(notch.BackendServer{
 		Name: args[0], Address: args[0], Host: "host-of-" + args[0], Domain: args[1], Pool: args[2],
 		Slots: slots, Connections: 8 * slots,
