--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -39,7 +39,7 @@
 	StopTimeout   Duration `arg:"--stop-timeout,env:NOTCH_STOP_TIMEOUT" default:"60s" help:"most time that requests in flight get to end at a stop" placeholder:"DURATION"`
 	Picker        string   `arg:"--picker,env:NOTCH_PICKER" default:"work" help:"choice of a backend server: work, tail, load, two or random"`
 	Queue         string   `arg:"--queue,env:NOTCH_QUEUE" default:"short-first" help:"order of waiting requests: short-first or fifo"`
-	Retry         string   `arg:"--retry,env:NOTCH_RETRY" default:"budget" help:"retries: budget or unlimited"`
+	Retry         string   `arg:"--retry,env:NOTCH_RETRY" default:"budget" help:"retries: budget, no-hedge or unlimited"`
 	Share         string   `arg:"--share,env:NOTCH_SHARE" default:"demand" help:"division of slots between entries: demand or equal"`
 	Placer        string   `arg:"--placer,env:NOTCH_PLACER" default:"scored" help:"choice of a worker: scored or first-fit"`
 	TaskOrder     string   `arg:"--task-order,env:NOTCH_TASK_ORDER" default:"short-first" help:"order of queued tasks: short-first or fifo"`
--- a/drive/drive.go
+++ b/drive/drive.go
@@ -215,6 +215,10 @@
 	w.Steps++
 	n.Lanes[lane], effects = notch.Step(n.Lanes[lane], notch.Event{At: w.Time(n), Seed: w.Rand.Uint64(), Body: b})
 	for _, f := range effects {
+		if wake, ok := f.(notch.Wake); ok {
+			w.sameStart(n, wake.After, func() { w.PostLane(n, lane, wake.Body) })
+			continue
+		}
 		w.run(n, f)
 	}
 }
--- a/effect.go
+++ b/effect.go
@@ -76,6 +76,12 @@
 	Deadline Time
 }
 
+// Wake hands a lane the event after a time.
+type Wake struct {
+	After time.Duration
+	Body  Body
+}
+
 // RefusalReason says why a request got no answer from a backend server.
 type RefusalReason string
 
@@ -131,6 +137,7 @@
 func (ToLanes) effect()      {}
 func (ToControl) effect()    {}
 func (Dispatch) effect()     {}
+func (Wake) effect()         {}
 func (Refuse) effect()       {}
 func (Count) effect()        {}
 func (Notice) effect()       {}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -60,7 +60,8 @@
 	}
 	e.control = newLoop(cfg.Control, cfg.Clock, notch.Mix(cfg.Seed), tickEvery, e.runControl)
 	for i, s := range cfg.Lanes {
-		e.lanes = append(e.lanes, newLoop(s, cfg.Clock, notch.Mix(cfg.Seed+uint64(i)+1), tickEvery, e.runLane))
+		run := func(f notch.Effect) { e.runLane(i, f) }
+		e.lanes = append(e.lanes, newLoop(s, cfg.Clock, notch.Mix(cfg.Seed+uint64(i)+1), tickEvery, run))
 	}
 	if recovered != nil {
 		e.Post(*recovered)
@@ -117,8 +118,10 @@
 	}
 }
 
-func (e *Engine) runLane(f notch.Effect) {
+func (e *Engine) runLane(lane int, f notch.Effect) {
 	switch f := f.(type) {
+	case notch.Wake:
+		time.AfterFunc(f.After, func() { e.lanes[lane].post(f.Body) })
 	case notch.Dispatch:
 		e.toCaller(f.Request, f)
 	case notch.Refuse:
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -27,44 +27,36 @@
 	outcome notch.AttemptOutcome
 }
 
-// flight is an attempt under way. It goes on after its caller has been answered
-// for lack of time, since the backend server's slot is in use until it ends.
-type flight struct {
+// flights are the sends of one request that are under way. They go on after the
+// caller was answered, since a backend server's slot is in use until they end.
+type flights struct {
 	x      *exchange
 	call   *engine.Call
+	open   int
+	landed chan landing
+}
+
+// maxFlights is more than the sends of a request that can be under way at once.
+const maxFlights = 8
+
+// landing is the end of a flight.
+type landing struct {
+	fetched
 	ended  notch.AttemptEnded
 	began  time.Time
 	cancel context.CancelFunc
-	result chan fetched
-}
-
-// attempt sends the request to one backend server. It returns true if the caller
-// has its answer, and false if the lane has to decide again.
-func (x *exchange) attempt(call *engine.Call, d notch.Dispatch) (done bool) {
-	f := x.launch(call, d)
-	late := time.NewTimer(time.Until(x.deadline))
-	defer late.Stop()
-	select {
-	case r := <-f.result:
-		return f.land(r)
-	case <-late.C:
-		go f.abandon()
-		x.timedOut()
-	case <-x.r.Context().Done():
-		go f.abandon()
-	}
-	return true
 }
 
-// launch starts an attempt, which may last as long again as the request.
-func (x *exchange) launch(call *engine.Call, d notch.Dispatch) *flight {
+// launch starts a send, which may last as long again as the request.
+func (fs *flights) launch(d notch.Dispatch) {
+	x := fs.x
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.r.Context()), x.deadline.Add(x.route.Timeout))
-	f := &flight{
-		x: x, call: call, began: time.Now(), cancel: cancel, result: make(chan fetched, 1),
-		ended: notch.AttemptEnded{Attempt: d.Attempt, Server: d.Server.ID()},
-	}
-	go func() { f.result <- x.fetch(ctx, d) }()
-	return f
+	l := landing{began: time.Now(), cancel: cancel, ended: notch.AttemptEnded{Attempt: d.Attempt, Server: d.Server.ID()}}
+	fs.open++
+	go func() {
+		l.fetched = x.fetch(ctx, d)
+		fs.landed <- l
+	}()
 }
 
 // fetch sends the request and reads the beginning of the answer.
@@ -89,42 +81,54 @@
 	return fetched{resp: resp, held: held, whole: whole}
 }
 
-// end says how the attempt ended.
-func (f *flight) end(o notch.AttemptOutcome) {
-	f.cancel()
-	f.ended.Outcome, f.ended.Latency = o, time.Since(f.began)
-	f.call.Ended(f.ended)
+// end tells the lane how a flight ended.
+func (fs *flights) end(l landing, o notch.AttemptOutcome) {
+	l.cancel()
+	l.ended.Outcome, l.ended.Latency = o, time.Since(l.began)
+	fs.call.Ended(l.ended)
 }
 
-// land passes an answer on, or leaves a failure to the lane.
-func (f *flight) land(r fetched) (done bool) {
-	if r.resp == nil {
-		f.end(r.outcome)
+// land passes an answer on and returns true, or leaves a failure to the lane.
+func (fs *flights) land(l landing) (done bool) {
+	fs.open--
+	if l.resp == nil {
+		fs.end(l, l.outcome)
 		return false
 	}
-	defer r.resp.Body.Close()
-	if f.x.pass(r.resp, r.held, r.whole) {
-		f.end(notch.AttemptOK)
+	defer l.resp.Body.Close()
+	if fs.x.pass(l.resp, l.held, l.whole) {
+		fs.end(l, notch.AttemptOK)
 		return true
 	}
-	f.end(notch.AttemptCut)
+	fs.end(l, notch.AttemptCut)
 	// The caller must not take what it has for the whole answer.
 	panic(http.ErrAbortHandler)
 }
 
-// abandon waits for the end of an attempt whose answer nobody awaits.
-func (f *flight) abandon() {
-	r := <-f.result
-	if r.resp == nil {
-		f.end(notch.AttemptCut)
+// abandon waits in the background for the end of flights whose answers nobody
+// awaits.
+func (fs *flights) abandon() {
+	if fs.open == 0 {
+		return
+	}
+	go func() {
+		for range fs.open {
+			fs.discard(<-fs.landed)
+		}
+	}()
+}
+
+func (fs *flights) discard(l landing) {
+	if l.resp == nil {
+		fs.end(l, notch.AttemptCut)
 		return
 	}
-	defer r.resp.Body.Close()
-	if _, err := io.Copy(io.Discard, r.resp.Body); err != nil {
-		f.end(notch.AttemptCut)
+	defer l.resp.Body.Close()
+	if _, err := io.Copy(io.Discard, l.resp.Body); err != nil {
+		fs.end(l, notch.AttemptCut)
 		return
 	}
-	f.end(notch.AttemptOK)
+	fs.end(l, notch.AttemptOK)
 }
 
 // timedOut answers a caller whose request is still under way at its deadline.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -127,6 +127,10 @@
 		Deadline: notch.TimeOf(x.deadline),
 	})
 	defer call.End()
+	fs := flights{x: x, call: call, landed: make(chan landing, maxFlights)}
+	defer fs.abandon()
+	late := time.NewTimer(time.Until(x.deadline))
+	defer late.Stop()
 	gone := x.r.Context().Done()
 	for {
 		select {
@@ -136,12 +140,22 @@
 				x.refused(f)
 				return
 			case notch.Dispatch:
-				if x.attempt(call, f) {
-					return
-				}
+				fs.launch(f)
+			}
+		case l := <-fs.landed:
+			if fs.land(l) {
+				return
+			}
+		case <-late.C:
+			if fs.open > 0 {
+				x.timedOut()
+				return
 			}
 		case <-gone:
-			// A dispatch may be under way to here; it is then ended below.
+			if fs.open > 0 {
+				return
+			}
+			// The lane refuses it, unless a dispatch is under way to here.
 			call.Abandon()
 			gone = nil
 		}
--- a/event.go
+++ b/event.go
@@ -223,6 +223,9 @@
 	Latency time.Duration
 }
 
+// HedgeDue says that a request has waited long for the answer to its first send.
+type HedgeDue struct{ Request uint64 }
+
 // CallerGone says that the caller of a waiting request went away.
 type CallerGone struct{ Request uint64 }
 
@@ -262,4 +265,5 @@
 func (LaneLoad) body()         {}
 func (RequestArrived) body()   {}
 func (AttemptEnded) body()     {}
+func (HedgeDue) body()         {}
 func (CallerGone) body()       {}
--- a/experiment/traffic.go
+++ b/experiment/traffic.go
@@ -79,6 +79,7 @@
 		base("queue fifo", func(p *policy) { p.traffic.Order = queue.FIFO{} }),
 		base("admit bounded", func(p *policy) { p.traffic.Admitter = queue.Bounded{} }),
 		base("share equal", func(p *policy) { p.divider = share.Equal{} }),
+		base("no hedges", func(p *policy) { p.traffic.Retrier, _ = retry.New("no-hedge") }),
 		base("retry unlimited", func(p *policy) { p.traffic.Retrier = retry.Unlimited{} }),
 		base("no ejection", func(p *policy) { p.traffic.Eject = false }),
 		base("naive", func(p *policy) { p.traffic, p.divider = traffic.NaivePolicy(), share.Equal{} }),
--- a/fake/traffic.go
+++ b/fake/traffic.go
@@ -86,7 +86,8 @@
 	began   time.Duration
 	request notch.Request
 	done    func(Outcome)
-	// answered is set once the caller was told that its time is over.
+	// answered is set once the caller has an answer or was told that its time is
+	// over.
 	answered bool
 }
 
@@ -192,24 +193,25 @@
 	x.done(x.outcome)
 }
 
-// finish tells the entry, after the way back, how the attempt ended.
+// finish tells the entry, after the way back, how the attempt ended. The first
+// answer is the caller's.
 func (s *Site) finish(n *drive.Node, key requestKey, x *exchange, f notch.Dispatch, began time.Duration, o notch.AttemptOutcome) {
 	s.After(s.way(n, f.Server.Domain), func() {
 		if !n.Up || n.Self.Incarnation != key.start {
 			return
 		}
-		switch {
-		case x.answered:
-			delete(s.requests, key)
-			if o != notch.AttemptOK {
-				o = notch.AttemptCut
-			}
-		case o == notch.AttemptOK:
-			delete(s.requests, key)
+		if x.answered && o != notch.AttemptOK {
+			o = notch.AttemptCut
+		}
+		if o == notch.AttemptOK && !x.answered {
+			x.answered = true
 			x.outcome.OK = true
 			x.outcome.Latency = s.Now() - x.began
 			x.done(x.outcome)
 		}
+		if x.answered {
+			delete(s.requests, key)
+		}
 		s.PostLane(n, 0, notch.AttemptEnded{
 			Request: f.Request, Attempt: f.Attempt, Server: f.Server.ID(), Outcome: o, Latency: s.Now() - began,
 		})
--- a/load/settings.go
+++ b/load/settings.go
@@ -24,7 +24,7 @@
 	Naive     bool   `arg:"--naive" help:"the naive baseline of every decision"`
 	Picker    string `arg:"--picker" default:"work" help:"work, tail, load, two or random"`
 	Queue     string `arg:"--queue" default:"short-first" help:"short-first or fifo"`
-	Retry     string `arg:"--retry" default:"budget" help:"budget or unlimited"`
+	Retry     string `arg:"--retry" default:"budget" help:"budget, no-hedge or unlimited"`
 	Share     string `arg:"--share" default:"demand" help:"demand or equal"`
 	Placer    string `arg:"--placer" default:"scored" help:"scored or first-fit"`
 	TaskOrder string `arg:"--task-order" default:"short-first" help:"short-first or fifo"`
--- a/policy.go
+++ b/policy.go
@@ -69,8 +69,12 @@
 // Retrier decides whether a request is sent again.
 type Retrier interface {
 	Retry(s RetryState) bool
-	// Earn is added to the budget for each first send; a retry costs 1.
+	// Earn is added to the budget for each first send; a retry or a hedge costs 1.
 	Earn() float64
+	// Hedge returns after which time without an answer a request that may be
+	// repeated is sent to a second backend server as well, if at all. Tail is the
+	// 95th percentile of its kind, by so many samples.
+	Hedge(tail time.Duration, samples int) (after time.Duration, ok bool)
 }
 
 // ServerShare is a backend server whose slots are to be divided.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -22,6 +22,7 @@
 	PerRequest float64 // retries earned by each first send
 	Attempts   int     // most sends of one request
 	Reserve    time.Duration
+	NoHedge    bool // send a second time after a failure only
 }
 
 // Default lets all sends stay below 1.15 times the requests.
@@ -38,11 +39,27 @@
 // Earn implements [notch.Retrier].
 func (r Budgeted) Earn() float64 { return r.PerRequest }
 
+// Hedge implements [notch.Retrier].
+func (Unlimited) Hedge(time.Duration, int) (time.Duration, bool) { return 0, false }
+
+// hedgeSamples is the number of samples from which a tail is trusted.
+const hedgeSamples = 50
+
+// Hedge implements [notch.Retrier]. Some 5% of the requests take longer than their
+// tail, which the budget covers.
+func (r Budgeted) Hedge(tail time.Duration, samples int) (time.Duration, bool) {
+	return tail, !r.NoHedge && samples >= hedgeSamples && tail > 0
+}
+
 // New returns the named policy.
 func New(name string) (notch.Retrier, bool) {
 	switch name {
 	case "budget":
 		return Default, true
+	case "no-hedge":
+		r := Default
+		r.NoHedge = true
+		return r, true
 	case "unlimited":
 		return Unlimited{}, true
 	}
@@ -50,4 +67,4 @@
 }
 
 // Names lists the policies, the default first.
-func Names() []string { return []string{"budget", "unlimited"} }
+func Names() []string { return []string{"budget", "no-hedge", "unlimited"} }
--- a/traffic/pool.go
+++ b/traffic/pool.go
@@ -17,9 +17,9 @@
 	index    map[notch.ServerID]int // positions in servers; replaced as a whole
 	gone     *immutable.SortedMap[notch.ServerID, int]
 	queue    *immutable.SortedMap[queueKey, struct{}]
-	kinds    *immutable.Map[string, time.Duration] // mean latency by kind
-	mean     time.Duration                         // over all kinds
-	tokens   float64                               // of the retry budget
+	kinds    *immutable.Map[string, kindStats]
+	mean     time.Duration // over all kinds
+	tokens   float64       // of the retry budget
 	inFlight int
 	capacity int // slots granted
 }
@@ -30,7 +30,7 @@
 		servers: immutable.NewList[server](),
 		gone:    immutable.NewSortedMap[notch.ServerID, int](nil),
 		queue:   immutable.NewSortedMap[queueKey, struct{}](queueKeys{}),
-		kinds:   immutable.NewMap[string, time.Duration](nil),
+		kinds:   immutable.NewMap[string, kindStats](nil),
 		tokens:  retry.MaxTokens / 2,
 	}
 }
@@ -68,11 +68,25 @@
 // withSample learns from the latency of a whole answer.
 func (p pool) withSample(kind string, d time.Duration) pool {
 	p.mean = smooth(p.mean, d)
-	old, _ := p.kinds.Get(kind)
-	p.kinds = p.kinds.Set(kind, smooth(old, d))
+	p.kinds = p.kinds.Set(kind, p.kind(kind).withSample(d))
 	return p
 }
 
+// kindStats is what is known of the latency of one kind of request.
+type kindStats struct {
+	mean, tail time.Duration
+	samples    int
+}
+
+func (k kindStats) withSample(d time.Duration) kindStats {
+	return kindStats{mean: smooth(k.mean, d), tail: followTail(k.tail, d), samples: k.samples + 1}
+}
+
+func (p pool) kind(name string) kindStats {
+	k, _ := p.kinds.Get(name)
+	return k
+}
+
 func smooth(mean, sample time.Duration) time.Duration {
 	if mean == 0 {
 		return sample
@@ -80,10 +94,7 @@
 	return mean + time.Duration(smoothing*float64(sample-mean))
 }
 
-func (p pool) expected(kind string) time.Duration {
-	d, _ := p.kinds.Get(kind)
-	return d
-}
+func (p pool) expected(kind string) time.Duration { return p.kind(kind).mean }
 
 func (p pool) service() time.Duration { return p.mean }
 
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -4,6 +4,7 @@
 package traffic
 
 import (
+	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -42,10 +43,37 @@
 	mayRun   bool // some attempt may have reached a backend server
 	waiting  bool
 	key      queueKey // while waiting
-	server   notch.ServerID
+	flights  []flight // sends that haven't ended
+	answered bool     // the caller has its answer; flights are left
 	tried    []notch.ServerID
 }
 
+// flight is a send that hasn't ended.
+type flight struct {
+	attempt int
+	server  notch.ServerID
+}
+
+// withFlight returns q after one more send.
+func (q request) withFlight(id notch.ServerID) request {
+	q.attempts++
+	q.waiting = false
+	q.flights = append(slices.Clip(q.flights), flight{q.attempts, id})
+	q.tried = append(slices.Clip(q.tried), id)
+	return q
+}
+
+// withoutFlight returns q after the end of a send. It is false if there was no
+// such send.
+func (q request) withoutFlight(b notch.AttemptEnded) (request, bool) {
+	i := slices.Index(q.flights, flight{b.Attempt, b.Server})
+	if i < 0 {
+		return q, false
+	}
+	q.flights = slices.Delete(slices.Clone(q.flights), i, i+1)
+	return q, true
+}
+
 // Part is the state of one lane.
 type Part struct {
 	lane     int
@@ -87,6 +115,8 @@
 		s.arrive(b.Request)
 	case notch.AttemptEnded:
 		s.ended(b)
+	case notch.HedgeDue:
+		s.hedge(b.Request)
 	case notch.CallerGone:
 		s.callerGone(b.Request)
 	case notch.Tick:
@@ -144,9 +174,7 @@
 	pool := s.pools[i]
 	b := pool.servers.Get(k).starting()
 	s.pools = s.pools.with(i, pool.withServer(k, b).withInFlight(1))
-	q.attempts++
-	q.server = b.id
-	q.waiting = false
+	q = q.withFlight(b.id)
 	s.requests = s.requests.Set(q.ID, q)
 	if b.server.Domain != s.domain {
 		s.count("sends-to-other-domains")
@@ -156,9 +184,38 @@
 		Request: q.ID, Attempt: q.attempts, Server: b.server,
 		Idle: s.idleConnections(b.server), Deadline: q.Deadline,
 	})
+	s.planHedge(pool, q)
 	return true
 }
 
+// planHedge asks to be woken when the answer to a first send is late.
+func (s *stepper) planHedge(p pool, q request) {
+	if q.attempts > 1 || !q.Idempotent || !q.Replayable {
+		return
+	}
+	k := p.kind(q.Kind)
+	if after, ok := s.policy.Retrier.Hedge(k.tail, k.samples); ok {
+		s.out = append(s.out, notch.Wake{After: after, Body: notch.HedgeDue{Request: q.ID}})
+	}
+}
+
+// hedge sends a late request to a second backend server, if one has room that
+// nobody waits for.
+func (s *stepper) hedge(id uint64) {
+	q, ok := s.requests.Get(id)
+	if !ok || q.answered || len(q.flights) != 1 || !s.leased() {
+		return
+	}
+	i := s.pools.find(q.Route.Pool)
+	if i < 0 || s.pools[i].tokens < 1 || s.pools[i].queue.Len() > 0 {
+		return
+	}
+	if s.dispatch(i, q) {
+		s.count("hedges")
+		s.pools = s.pools.with(i, s.pools[i].withTokens(-1))
+	}
+}
+
 // idleConnections divides the connections that no slot needs between entries.
 func (s *stepper) idleConnections(b notch.BackendServer) int {
 	return max(0, (b.Connections-b.Slots)/max(1, s.slots.Entries))
@@ -184,13 +241,15 @@
 
 func (s *stepper) ended(b notch.AttemptEnded) {
 	q, ok := s.requests.Get(b.Request)
-	if !ok || q.waiting || q.attempts != b.Attempt || q.server != b.Server {
+	if !ok {
+		return
+	}
+	if q, ok = q.withoutFlight(b); !ok {
 		return
 	}
 	i := s.pools.find(q.Route.Pool)
 	if i < 0 {
-		q.mayRun = b.Outcome != notch.AttemptNotSent && b.Outcome != notch.AttemptRefused
-		s.refuse(q, notch.RefusedNoServer, 0)
+		s.endedNowhere(q, b)
 		return
 	}
 	s.release(i, q, b)
@@ -198,6 +257,19 @@
 	s.serve(i)
 }
 
+// endedNowhere ends a request whose pool is no longer in the tables.
+func (s *stepper) endedNowhere(q request, b notch.AttemptEnded) {
+	q.mayRun = q.mayRun || b.Outcome != notch.AttemptNotSent && b.Outcome != notch.AttemptRefused
+	switch {
+	case len(q.flights) > 0:
+		s.requests = s.requests.Set(q.ID, q)
+	case q.answered || b.Outcome == notch.AttemptOK:
+		s.requests = s.requests.Delete(q.ID)
+	default:
+		s.refuse(q, notch.RefusedNoServer, 0)
+	}
+}
+
 // release gives the slot back and notes how the attempt went.
 func (s *stepper) release(i int, q request, b notch.AttemptEnded) {
 	pool := s.pools[i].withInFlight(-1)
@@ -218,15 +290,26 @@
 	s.pools = s.pools.with(i, pool)
 }
 
-// conclude ends the request or sends it again.
+// conclude ends the request, waits for its other send, or sends it again.
 func (s *stepper) conclude(i int, q request, o notch.AttemptOutcome) {
-	if o == notch.AttemptOK || o == notch.AttemptCut || o == notch.AttemptCanceled {
-		s.requests = s.requests.Delete(q.ID)
+	final := o == notch.AttemptOK || o == notch.AttemptCut || o == notch.AttemptCanceled
+	if final && !q.answered {
+		q.answered = true
 		s.count(outcomeCounters[o])
-		return
 	}
 	q.mayRun = q.mayRun || o == notch.AttemptFailed
-	q.tried = append(q.tried[:len(q.tried):len(q.tried)], q.server)
+	switch {
+	case len(q.flights) > 0:
+		s.requests = s.requests.Set(q.ID, q)
+	case q.answered:
+		s.requests = s.requests.Delete(q.ID)
+	default:
+		s.again(i, q, o)
+	}
+}
+
+// again sends a request that failed once more, or refuses it.
+func (s *stepper) again(i int, q request, o notch.AttemptOutcome) {
 	state := notch.RetryState{
 		Attempts: q.attempts, Outcome: o, Remaining: q.Deadline.Sub(s.now), Tokens: s.pools[i].tokens,
 		Repeat: (q.Idempotent || !q.mayRun) && q.Replayable,
