Keep slots with their holders and let demand fall slowly

Change: a holder comes first among entries with a need, and a reported demand falls by an eighth a report at most.

--- a/policy.go
+++ b/policy.go
@@ -89,6 +89,7 @@
 	Entry  string
 	Domain string
 	Demand int
+	Held   []int // slots that it holds now, by server
 }
 
 // Divider divides the slots of a pool between entries. The result has a row per
--- a/share/divide.go
+++ b/share/divide.go
@@ -43,7 +43,11 @@
 	need := d.quotas(servers, entries)
 	used := make([]int, len(servers))
 	local := func(i, j int) bool { return servers[i].Domain == entries[j].Domain }
+	// A slot that changes hands is idle meanwhile, so holders come first.
+	held := func(i, j int) bool { return i < len(entries[j].Held) && out[i][j] < entries[j].Held[i] }
+	assign(servers, out, need, used, func(i, j int) bool { return local(i, j) && held(i, j) })
 	assign(servers, out, need, used, local)
+	assign(servers, out, need, used, held)
 	assign(servers, out, need, used, func(int, int) bool { return true })
 	return out
 }
--- a/share/leader.go
+++ b/share/leader.go
@@ -153,14 +153,19 @@
 	for _, h := range m.Holds {
 		e.acked[h.Server] = h.Slots
 	}
+	old := e.demand
 	e.demand = map[string]int{}
 	for _, d := range m.Demand {
-		e.demand[d.Pool] = d.Slots
+		e.demand[d.Pool] = max(d.Slots, old[d.Pool]-old[d.Pool]/demandDecay)
 	}
 	e.pending = slices.DeleteFunc(slices.Clone(e.pending), func(g sentGrant) bool { return g.seq <= m.Seq })
 	return e
 }
 
+// demandDecay slows the fall of a demand to a part in so many a report, while it
+// rises at once, so that slots don't go to and fro with the noise.
+const demandDecay = 8
+
 func (p Leader) withEntry(key string, e entry) Leader {
 	p.entries = maps.Clone(p.entries)
 	if p.entries == nil {
@@ -241,7 +246,11 @@
 	var entries []notch.EntryShare
 	for _, key := range keys {
 		e := p.entries[key]
-		entries = append(entries, notch.EntryShare{Entry: key, Domain: e.domain, Demand: e.demand[pool.Name]})
+		share := notch.EntryShare{Entry: key, Domain: e.domain, Demand: e.demand[pool.Name]}
+		for _, s := range servers {
+			share.Held = append(share.Held, e.atMost(s.Server))
+		}
+		entries = append(entries, share)
 	}
 	rows := p.divider.Divide(servers, entries)
 	for i, s := range servers {
