--- a/message.go
+++ b/message.go
@@ -128,15 +128,16 @@
 // EntryGrant renews an entry's lease and sets its slots. A server that isn't
 // listed in a full grant has none.
 type EntryGrant struct {
-	Term     uint64
-	Seq      uint64
-	SentAt   Time          // echoed
-	Lease    time.Duration // from SentAt
-	Entries  int           // live entries, to divide idle connections by
-	Voters   []string      // names of the control replicas
-	Revision uint64        // current revision
-	Tables   *Tables       // set if the entry's revision is older
-	Slots    []Hold
+	Incarnation uint64 // echoed: a grant to an earlier process of the same name isn't obeyed
+	Term        uint64
+	Seq         uint64
+	SentAt      Time          // echoed
+	Lease       time.Duration // from SentAt
+	Entries     int           // live entries, to divide idle connections by
+	Voters      []string      // names of the control replicas
+	Revision    uint64        // current revision
+	Tables      *Tables       // set if the entry's revision is older
+	Slots       []Hold
 }
 
 // WorkerRequest carries a worker's call from the daemon that took it to the leader.
--- a/share/entry.go
+++ b/share/entry.go
@@ -215,7 +215,7 @@
 }
 
 func (p Entry) onGrant(now notch.Time, from string, m notch.EntryGrant) (notch.Part, []notch.Effect) {
-	if m.Term < p.term || (m.Term == p.term && m.Seq <= p.seq) {
+	if m.Incarnation != p.self.Incarnation || m.Term < p.term || (m.Term == p.term && m.Seq <= p.seq) {
 		return p, nil
 	}
 	var out []notch.Effect
--- a/share/leader.go
+++ b/share/leader.go
@@ -132,7 +132,7 @@
 	p = p.withEntry(key, e)
 	p = p.forget(now).divide(now)
 	p, grant := p.grant(now, key, lease)
-	grant.SentAt = m.SentAt
+	grant.SentAt, grant.Incarnation = m.SentAt, m.Incarnation
 	if m.Revision < p.tables.Revision {
 		tables := p.tables
 		grant.Tables = &tables
