Script the failures of traffic, control and batch; mend what they showed

An entry that was forgotten while it was cut off was granted slots under numbers that it had seen before and ignored for seconds: the leader now goes on with the entry's own numbers (majority-lost).

--- a/fake/worker.go
+++ b/fake/worker.go
@@ -24,6 +24,7 @@
 	reports []notch.TaskReport
 	until   notch.Time // of the lease, by the worker's clock
 	obeyed  notch.Time // when the heartbeat was sent whose answer was obeyed last
+	hurried bool       // a heartbeat ahead of time is due
 	life    int
 }
 
@@ -85,6 +86,24 @@
 	s.After(beatEvery+jitter, func() { s.beating(w, life) })
 }
 
+// soon gathers what a worker has to report at about the same time.
+const soon = 20 * time.Millisecond
+
+// beatSoon sends a heartbeat ahead of time, as there is something to report.
+func (s *Site) beatSoon(w *Worker) {
+	if w.hurried {
+		return
+	}
+	w.hurried = true
+	life := w.life
+	s.After(soon, func() {
+		w.hurried = false
+		if up := s.Up(); w.life == life && len(up) > 0 && !w.CutOff {
+			s.beat(w, up[s.Rand.IntN(len(up))])
+		}
+	})
+}
+
 func (s *Site) beat(w *Worker, n *drive.Node) {
 	sent := s.clock(w)
 	life := w.life
@@ -208,6 +227,7 @@
 }
 
 func (s *Site) report(w *Worker, r notch.TaskReport) {
+	s.beatSoon(w)
 	w.reports = slices.DeleteFunc(w.reports, func(o notch.TaskReport) bool { return o.Task == r.Task && o.Epoch == r.Epoch })
 	w.reports = append(w.reports, r)
 }
--- a/load/worker.go
+++ b/load/worker.go
@@ -25,6 +25,7 @@
 	tasks   map[api.Attempt]*attempt
 	reports []api.Report
 	until   time.Time
+	news    chan struct{} // holds a token while there is something to report
 }
 
 // attempt is a task that runs on a worker.
@@ -75,7 +76,7 @@
 
 func newWorker(p profile, i int, entries []string, place *placeBook) *worker {
 	return &worker{
-		name: fmt.Sprintf("worker-%s-%d", p.name, i), place: place, tasks: map[api.Attempt]*attempt{},
+		name: fmt.Sprintf("worker-%s-%d", p.name, i), place: place, tasks: map[api.Attempt]*attempt{}, news: make(chan struct{}, 1),
 		client: client.New(entries, client.WithTimeout(2*time.Second)),
 		doc: api.Worker{
 			Incarnation: 1, Pool: p.name + "-workers", FailureDomain: p.domains[i%len(p.domains)],
@@ -96,6 +97,7 @@
 		case <-ctx.Done():
 			w.stopAll()
 			return
+		case <-w.news:
 		case <-tick.C:
 		}
 	}
@@ -186,6 +188,10 @@
 func (w *worker) report(r api.Report) {
 	w.reports = slices.DeleteFunc(w.reports, func(o api.Report) bool { return o.Task == r.Task && o.Epoch == r.Epoch })
 	w.reports = append(w.reports, r)
+	select {
+	case w.news <- struct{}{}:
+	default:
+	}
 }
 
 func (w *worker) finish(a api.Attempt, x *attempt) {
--- a/script/batch.go
+++ b/script/batch.go
@@ -106,3 +106,7 @@
 		r.fatalf("job %s waits: got %q, want %q", args[1], got, want)
 	}
 }
+
+func (r *run) running(args []string) {
+	r.compare("attempts on "+args[0], r.workerOf(args[0]).Running(), args[1], args[2])
+}
--- a/script/control.go
+++ b/script/control.go
@@ -1,6 +1,7 @@
 package script
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -158,3 +159,46 @@
 		r.fatalf("leased %s: got %v, want %s", args[0], got, args[1])
 	}
 }
+
+func (r *run) snapshots(args []string) {
+	r.Policies.Consensus.Snapshot, r.Policies.Consensus.KeepBack = r.number(args[0]), r.number(args[1])
+	for _, n := range r.Nodes() {
+		r.Kill(n)
+		r.Start(n)
+	}
+}
+
+// manyEdits puts edits of routes one after another, each on the last one's version.
+func (r *run) manyEdits(args []string) {
+	n := r.node(args[0])
+	for i := range r.number(args[2]) {
+		version := r.Tables(n).RoutesVersion
+		route := notch.Route{Name: "sale", Path: fmt.Sprintf("/sale-%d", i), Pool: args[1], Timeout: time.Second}
+		cmd := notch.EditTable{ID: fmt.Sprintf("many-%d", i), Table: notch.RoutesTable, Base: version, Routes: []notch.Route{route}}
+		accepted := false
+		r.Submit(n, cmd, editPatience, func(a notch.Answer) { accepted = a.Err == nil })
+		for r.Run(20 * time.Millisecond); !accepted; r.Run(20 * time.Millisecond) {
+			if r.Now() > time.Hour {
+				r.fatalf("edit %d isn't accepted", i)
+			}
+		}
+	}
+}
+
+func (r *run) claim(args []string) {
+	r.tokens++
+	delete(r.claims, args[2])
+	cmd := notch.ClaimRequest{ID: args[1], Entry: args[0], Token: r.tokens}
+	r.Submit(r.node(args[0]), cmd, editPatience, func(a notch.Answer) {
+		if a.Err == nil {
+			r.claims[args[2]] = a.Result.(notch.ClaimResult).Granted
+		}
+	})
+}
+
+func (r *run) claimed(args []string) {
+	got, known := r.claims[args[0]]
+	if !known || got != yes(args[1]) {
+		r.fatalf("claim %s granted: got %v (known: %v), want %s", args[0], got, known, args[1])
+	}
+}
--- a/script/traffic.go
+++ b/script/traffic.go
@@ -96,3 +96,10 @@
 		r.fatalf("backend server %s got a request %v ago, want %s", args[0], since, args[1])
 	}
 }
+
+func (r *run) busy(args []string) {
+	b := r.backendOf(args[0])
+	if since := r.Now() - b.Last; since > r.duration(args[1]) {
+		r.fatalf("backend server %s got its last request %v ago, want within %s", args[0], since, args[1])
+	}
+}
--- a/share/leader.go
+++ b/share/leader.go
@@ -149,6 +149,8 @@
 	if m.Term != term {
 		m.Seq = 0
 	}
+	// An entry that was forgotten meanwhile goes on with its own numbers.
+	e.seq = max(e.seq, m.Seq)
 	e.acked = map[notch.ServerID]int{}
 	for _, h := range m.Holds {
 		e.acked[h.Server] = h.Slots
