Measure batch decisions; urgent work may displace normal work

Change: eviction takes the least pressing class first and normal work last; reports older than a throttle don't count against it.

--- a/batch/plan.go
+++ b/batch/plan.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 
 	notch "tamaracknotch"
@@ -188,8 +189,11 @@
 	}
 }
 
+// evictionCost is the cost of an eviction by class, in seconds of lost work.
+var evictionCost = [...]float64{notch.Urgent: 0, notch.Normal: 60, notch.BestEffort: 1}
+
 // victims returns the worker where room for the job costs the least work, and the
-// best-effort tasks to stop there. Room that earlier stops will leave counts.
+// tasks to stop there. Room that earlier stops will leave counts.
 func (s *stepper) victims(j notch.Job, views *views) (int, []notch.Task) {
 	best, cheapest := -1, 0.0
 	var chosen []notch.Task
@@ -207,7 +211,7 @@
 			}
 			rec, _ := s.jobs.Get(t.Job)
 			free = free.Plus(rec.Job.Size)
-			cost += 1 + s.lost(rec.Job, t)
+			cost += evictionCost[rec.Job.Class] + s.lost(rec.Job, t)
 			victims = append(victims, t)
 		}
 		if j.Size.Fits(free) && (best < 0 || cost < cheapest) {
@@ -229,21 +233,22 @@
 	return sum
 }
 
-// evictable lists a worker's best-effort tasks, the least work lost first.
+// evictable lists a worker's tasks that urgent ones may displace: those of the
+// least pressing class first, and of these the least work lost.
 func (s *stepper) evictable(worker string) []notch.Task {
 	var out []notch.Task
 	ids, _ := s.onWorker.Get(worker)
 	for _, id := range ids {
 		t, _ := s.tasks.Get(id)
 		rec, _ := s.jobs.Get(t.Job)
-		if rec.Job.Class == notch.BestEffort && (t.Phase == notch.Running || t.Phase == notch.Placed) {
+		if rec.Job.Class != notch.Urgent && (t.Phase == notch.Running || t.Phase == notch.Placed) {
 			out = append(out, t)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b notch.Task) int {
 		ja, _ := s.jobs.Get(a.Job)
 		jb, _ := s.jobs.Get(b.Job)
-		return int(s.lost(ja.Job, a) - s.lost(jb.Job, b))
+		return cmp.Or(-cmp.Compare(ja.Job.Class, jb.Job.Class), cmp.Compare(s.lost(ja.Job, a), s.lost(jb.Job, b)))
 	})
 	return out
 }
--- a/batch/protect.go
+++ b/batch/protect.go
@@ -15,7 +15,7 @@
 // The hysteresis of the protection of services.
 const (
 	pressureHigh = 0.5 // at which tasks are throttled
-	pressureLow  = 0.2 // below which they may run freely again
+	pressureLow  = 0.3 // below which they may run freely again
 )
 
 // watch learns from a worker's report and protects its services.
@@ -28,6 +28,10 @@
 		return
 	}
 	th, on := s.throttled.Get(w.Name)
+	// A report from before the throttle says nothing of its effect.
+	if on && s.now.Add(-u.Age).Before(th.since) {
+		return
+	}
 	switch {
 	case !on && u.Pressure >= pressureHigh && len(kinds) > 0:
 		s.throttled = s.throttled.Set(w.Name, throttle{since: s.now, kinds: s.worst(kinds)})
--- a/experiment/stubs.go
+++ b/experiment/stubs.go
@@ -1,5 +1,4 @@
 package experiment
 
-func Batch(full bool, seed uint64) []Table    { return nil }
 func Control(full bool, seed uint64) []Table  { return nil }
 func Capacity(full bool, seed uint64) []Table { return nil }
--- a/fake/fake.go
+++ b/fake/fake.go
@@ -44,6 +44,10 @@
 	Workers  map[string]*Worker
 	Counters map[string]int64
 	Notices  []string
+	// OnPublish sees each task whose results are published.
+	OnPublish func(id notch.TaskID)
+	// Lost is the work of attempts that was thrown away.
+	Lost time.Duration
 	// Violations lists the promises that were seen broken.
 	Violations []string
 
@@ -65,6 +69,7 @@
 		running: map[notch.TaskID]string{}, finished: map[notch.TaskID]int{}, died: map[string]bool{},
 	}
 	s.OnEffect = s.effect
+	s.OnPublish = func(notch.TaskID) {}
 	return s
 }
 
--- a/fake/worker.go
+++ b/fake/worker.go
@@ -185,6 +185,7 @@
 		if !published {
 			continue
 		}
+		s.OnPublish(x.Task)
 		if s.finished[x.Task]++; s.finished[x.Task] > 1 {
 			s.violate("task %s was published %d times", x.Task, s.finished[x.Task])
 		}
@@ -300,6 +301,8 @@
 		if checkpoint {
 			before, _ := time.ParseDuration(r.order.Checkpoint)
 			rep.Checkpoint = (before + r.done).String()
+		} else {
+			s.Lost += r.done
 		}
 		s.leave(w, te)
 	}
@@ -324,6 +327,20 @@
 	}
 }
 
+// Kinds counts the attempts that run at full speed and those that are throttled,
+// by their command.
+func (w *Worker) Kinds() (full, slow map[string]int) {
+	full, slow = map[string]int{}, map[string]int{}
+	for _, r := range w.tasks {
+		if r.throttled {
+			slow[r.order.Command]++
+		} else {
+			full[r.order.Command]++
+		}
+	}
+	return full, slow
+}
+
 // Running returns the number of attempts on a worker.
 func (w *Worker) Running() int { return len(w.tasks) }
 
