--- /dev/null
+++ b/experiment/capacity.go
@@ -0,0 +1,536 @@
+package experiment
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"time"
+
+	notch "tamaracknotch"
+	"tamaracknotch/batch"
+	"tamaracknotch/consensus"
+	"tamaracknotch/journal"
+	"tamaracknotch/member"
+	"tamaracknotch/share"
+	"tamaracknotch/table"
+	"tamaracknotch/traffic"
+	"tamaracknotch/wire"
+)
+
+// The size to design for.
+const (
+	sizeWorkers  = 3900
+	sizeTasks    = 40_000
+	sizeServers  = 20_000
+	sizeStarts   = 3200 // a second
+	sizeEdits    = 6900 // a day
+	sizeEntries  = 36
+	sizeReplicas = 5
+	sizeJobs     = 25_000 // a day
+	sizeRestarts = 840    // hosts a day
+)
+
+// slope is a cost at several sizes and its fit by a straight line.
+type slope struct {
+	name   string
+	unit   string
+	sizes  []int
+	costs  []float64
+	base   float64 // fitted cost at size 0
+	each   float64 // fitted cost of one more
+	square float64 // coefficient of determination
+}
+
+// fit returns the least-squares line through the costs.
+func fit(name, unit string, sizes []int, cost func(n int) float64) slope {
+	s := slope{name: name, unit: unit, sizes: sizes}
+	var sx, sy, sxx, sxy, syy float64
+	for _, n := range sizes {
+		c := cost(n)
+		s.costs = append(s.costs, c)
+		x := float64(n)
+		sx, sy, sxx, sxy, syy = sx+x, sy+c, sxx+x*x, sxy+x*c, syy+c*c
+	}
+	n := float64(len(sizes))
+	s.each = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	s.base = (sy - s.each*sx) / n
+	if v := (n*sxx - sx*sx) * (n*syy - sy*sy); v > 0 {
+		s.square = (n*sxy - sx*sy) * (n*sxy - sx*sy) / v
+	}
+	return s
+}
+
+func (s slope) at(n int) float64 { return s.base + s.each*float64(n) }
+
+func (s slope) row() Row {
+	v := []float64{}
+	for i := range s.sizes {
+		v = append(v, float64(s.sizes[i]), s.costs[i])
+	}
+	return Row{s.name + ", " + s.unit, append(v, s.base, s.each, s.square)}
+}
+
+// micros times f in microseconds: the median of several runs, so that another
+// process on the host disturbs little.
+func micros(runs int, f func()) float64 {
+	times := make([]float64, runs)
+	for i := range times {
+		began := time.Now()
+		f()
+		times[i] = float64(time.Since(began).Nanoseconds()) / 1000
+	}
+	return median(times)
+}
+
+// bytesOf is the encoded size of a message.
+func bytesOf(m notch.Message) float64 {
+	b, err := wire.EncodeMessage(m)
+	if err != nil {
+		panic(err) // Every message of the package can be encoded.
+	}
+	return float64(len(b))
+}
+
+// heapOf is the heap that the value returned by build holds, in bytes.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// Capacity measures slopes on this host and works out the cost of each role at
+// the size to design for.
+func Capacity(full bool, _ uint64) []Table {
+	m := measure(full)
+	slopes := Table{
+		Title:   "slopes measured on this host: three sizes and their costs, fitted base, cost of one more, r squared",
+		Columns: []string{"size", "cost", "size", "cost", "size", "cost", "base", "each", "r2"},
+	}
+	for _, s := range m.slopes() {
+		slopes.Rows = append(slopes.Rows, s.row())
+	}
+	return []Table{slopes, m.journalTable(), m.roles(), m.events()}
+}
+
+// measured is every slope that the page needs.
+type measured struct {
+	beat      slope // CPU of a heartbeat at the leader, by workers
+	beatBytes slope // of a heartbeat and its answer between daemons, by running tasks of a worker
+	plan      slope // CPU of a placement, by workers
+	report    slope // CPU of a committed report, by running tasks
+	entry     slope // CPU of an entry's report at the leader, by backend servers
+	entryIn   slope // bytes of a report and its grant, by backend servers
+	announce  slope // bytes of an announcement message, by backend servers
+	spread    slope // CPU of an announcement message, by backend servers
+	edit      slope // bytes of a table with so many rows
+	apply     slope // CPU of a committed edit, by rows
+	placed    slope // bytes of a committed placement in the log, by placements
+	propose   slope // CPU of a proposal at the leader, by proposals in a batch
+	request   slope // CPU of a request in a lane, by backend servers
+	taskHeap  slope // memory by tasks
+	hostHeap  slope // memory by workers
+	laneHeap  slope // memory of a lane by backend servers
+	commits   []journalPoint
+}
+
+func (m measured) slopes() []slope {
+	return []slope{m.beat, m.beatBytes, m.plan, m.report, m.entry, m.entryIn, m.announce, m.spread, m.edit, m.apply,
+		m.placed, m.propose, m.request, m.taskHeap, m.hostHeap, m.laneHeap}
+}
+
+func measure(full bool) measured {
+	workers, servers := []int{200, 600, 1200}, []int{100, 300, 900}
+	if full {
+		workers, servers = []int{400, 1300, sizeWorkers}, []int{300, 1000, 3000}
+	}
+	rows := []int{50, 200, 800}
+	batches := []int{10, 100, 1000}
+	tasks := []int{2000, 6000, 12_000}
+	return measured{
+		beat:      fit("heartbeat at the leader, by workers", "us", workers, beatCost),
+		beatBytes: fit("heartbeat and answer between daemons, by its tasks", "bytes", []int{0, 10, 40}, beatBytes),
+		plan:      fit("placement, by workers", "us", workers, planCost),
+		report:    fit("committed report, by tasks", "us", tasks, reportCost),
+		entry:     fit("entry's report at the leader, by backend servers", "us", servers, entryCost),
+		entryIn:   fit("entry's report and grant, by backend servers", "bytes", servers, entryBytes),
+		announce:  fit("announcements, by backend servers", "bytes", servers, announceBytes),
+		spread:    fit("announcements taken, by backend servers", "us", servers, announceCost),
+		edit:      fit("table sent to an entry, by rows", "bytes", rows, editBytes),
+		apply:     fit("committed edit, by rows", "us", rows, editCost),
+		placed:    fit("placements in a log message", "bytes", batches, placedBytes),
+		propose:   fit("proposals in a batch at the leader", "us", batches, proposeCost),
+		request:   fit("request in a lane, by backend servers", "us", servers, requestCost),
+		taskHeap:  fit("jobs and tasks", "bytes", tasks, func(n int) float64 { return heapOf(func() any { return jobState(n, 50) }) }),
+		hostHeap:  fit("workers", "bytes", workers, func(n int) float64 { return heapOf(func() any { return workerState(n) }) }),
+		laneHeap:  fit("backend servers in a lane", "bytes", servers, func(n int) float64 { return heapOf(func() any { return laneState(n) }) }),
+		commits:   journalPoints(),
+	}
+}
+
+// stepper drives one state with events at a growing time.
+type driver struct {
+	state notch.State
+	now   notch.Time
+}
+
+func (d *driver) step(b notch.Body) []notch.Effect {
+	d.now += notch.Time(time.Microsecond)
+	var out []notch.Effect
+	d.state, out = notch.Step(d.state, notch.Event{At: d.now, Seed: uint64(d.now), Body: b})
+	return out
+}
+
+const capacityPool = "p"
+
+// leaderOf returns a driver of parts that take themselves for those of a leader.
+func leaderOf(parts ...notch.Part) *driver {
+	d := &driver{state: notch.NewState(parts...), now: notch.Time(time.Hour)}
+	pools := []notch.Pool{{Name: capacityPool, Kind: notch.WorkerPool}, {Name: "s", Kind: notch.ServicePool}}
+	routes := []notch.Route{{Name: "r", Path: "/", Pool: "s", Timeout: time.Second}}
+	t := notch.Tables{Revision: 2, Pools: pools, Routes: routes}
+	d.step(notch.TablesCommitted{Tables: t})
+	d.step(notch.TablesApplied{Tables: t})
+	d.step(notch.Leadership{Leading: true, Term: 2, Ready: d.now, Contact: d.now + notch.Time(time.Hour)})
+	return d
+}
+
+func commit(d *driver, c notch.Command) []notch.Effect {
+	return d.step(notch.Committed{Entry: notch.Entry{At: d.now, Command: c}})
+}
+
+func workerNamed(i int) notch.Worker {
+	return notch.Worker{
+		Name: fmt.Sprintf("worker-%05d", i), Incarnation: 1, Pool: capacityPool, Domain: "north", Rack: "r1", Guard: true,
+		Size: notch.Resources{MilliCPU: 64_000, MemoryMB: 250_000, Accelerators: 1},
+	}
+}
+
+func beatOf(i, tasks int) notch.Heartbeat {
+	h := notch.Heartbeat{Worker: workerNamed(i), Usage: notch.Usage{Age: 5 * time.Second, Load: notch.Resources{MilliCPU: 30_000}}}
+	for k := range tasks {
+		h.Running = append(h.Running, notch.TaskEpoch{Task: notch.NewTaskID(fmt.Sprintf("job-%06d", k), k), Epoch: 1})
+	}
+	return h
+}
+
+// workerState is a leader with n registered workers that were heard.
+func workerState(n int) *driver {
+	d := leaderOf(batch.New())
+	for i := range n {
+		commit(d, notch.RegisterWorker{Worker: workerNamed(i)})
+		d.step(notch.Beat{Origin: "a", Beat: beatOf(i, 0)})
+	}
+	return d
+}
+
+// jobState is a leader with n queued tasks in jobs of the given size.
+func jobState(n, each int) *driver {
+	d := leaderOf(batch.New())
+	addJobs(d, n, each)
+	return d
+}
+
+func addJobs(d *driver, n, each int) {
+	for i := range n / each {
+		commit(d, notch.SubmitJob{Job: notch.Job{
+			ID: fmt.Sprintf("job-%06d", i), Pool: capacityPool, Kind: fmt.Sprintf("kind-%d", i%20), Class: notch.Normal,
+			Tasks: each, Size: notch.Resources{MilliCPU: 500, MemoryMB: 500},
+		}})
+	}
+}
+
+func beatCost(n int) float64 {
+	d := workerState(n)
+	i := 0
+	return micros(400, func() {
+		i++
+		d.step(notch.Beat{Origin: "b", Ticket: uint64(i), Beat: beatOf(i%n, 0)})
+	})
+}
+
+func beatBytes(tasks int) float64 {
+	h := beatOf(1, tasks)
+	return bytesOf(notch.WorkerRequest{Ticket: 1, Beat: h}) + bytesOf(notch.WorkerReply{Ticket: 1, Reply: notch.HeartbeatReply{Known: true, Lease: time.Second}})
+}
+
+// planned is how many placements one plan of the measurement makes.
+const planned = 500
+
+// planCost is the cost of one placement, from the plan to its commit.
+func planCost(n int) float64 {
+	d := workerState(n)
+	addJobs(d, 6*planned, 50)
+	return micros(5, func() {
+		d.now += notch.Time(time.Second)
+		var cmd notch.Command
+		var ps []notch.Placement
+		for _, f := range d.step(notch.Tick{}) {
+			_ = f
+		}
+		cmd, ps = plannedBy(d)
+		if cmd != nil {
+			commit(d, notch.PlaceTasks{Placements: ps[:min(len(ps), planned)]})
+		}
+	}) / planned
+}
+
+// plannedBy has the parts plan and returns the command that they propose.
+func plannedBy(d *driver) (notch.Command, []notch.Placement) {
+	for _, p := range d.state.Parts() {
+		b, ok := p.(batch.Part)
+		if !ok {
+			continue
+		}
+		_, effects := b.Step(notch.Event{At: d.now + notch.Time(time.Minute), Seed: 1, Body: notch.Tick{}})
+		for _, f := range effects {
+			if e, ok := f.(notch.Emit); ok {
+				if pr, ok := e.Body.(notch.Proposal); ok {
+					if c, ok := pr.Command.(notch.PlaceTasks); ok {
+						return c, c.Placements
+					}
+				}
+			}
+		}
+	}
+	return nil, nil
+}
+
+func reportCost(n int) float64 {
+	d := workerState(200)
+	addJobs(d, n, 50)
+	var ps []notch.Placement
+	for i := range n {
+		ps = append(ps, notch.Placement{
+			Task: notch.NewTaskID(fmt.Sprintf("job-%06d", i/50), i%50), Worker: workerNamed(i % 200).Name, Incarnation: 1,
+		})
+	}
+	commit(d, notch.PlaceTasks{Placements: ps})
+	i := 0
+	return micros(300, func() {
+		p := ps[i]
+		i++
+		commit(d, notch.ReportTasks{Worker: p.Worker, Incarnation: 1, Reports: []notch.TaskReport{
+			{Task: p.Task, Epoch: 1, Kind: notch.ReportRunning}, {Task: p.Task, Epoch: 1, Kind: notch.ReportFinished},
+		}})
+	})
+}
+
+func serverNamed(i int) notch.BackendServer {
+	return notch.BackendServer{
+		Name: fmt.Sprintf("server-%05d", i), Incarnation: 1, Address: "192.0.2.10:8080", Host: fmt.Sprintf("host-%05d", i),
+		Domain: "north", Pool: "s", Slots: 8, Connections: 64,
+	}
+}
+
+func serversUpTo(n int) []notch.BackendServer {
+	var out []notch.BackendServer
+	for i := range n {
+		out = append(out, serverNamed(i))
+	}
+	return out
+}
+
+// reportingEntries is the number of entries of the measurement.
+const reportingEntries = 9
+
+func entryReport(servers int) notch.EntryReport {
+	r := notch.EntryReport{Incarnation: 1, Domain: "north", Revision: 2, Term: 2, Demand: []notch.Demand{{Pool: "s", Slots: servers}}}
+	for i := range servers {
+		r.Holds = append(r.Holds, notch.Hold{Server: serverNamed(i).ID(), Slots: 1})
+	}
+	return r
+}
+
+// entryCost is the cost of an entry's report, with its part of the divisions.
+func entryCost(n int) float64 {
+	d := leaderOf(share.NewLeader("a"))
+	d.step(notch.ServersChanged{Servers: serversUpTo(n)})
+	i := 0
+	one := func() {
+		i++
+		d.now += notch.Time(250 * time.Millisecond / reportingEntries)
+		d.step(notch.MessageReceived{From: fmt.Sprintf("e%d", i%reportingEntries), Message: entryReport(n)})
+	}
+	for range 2 * reportingEntries {
+		one()
+	}
+	began := time.Now()
+	const rounds = 5 * reportingEntries
+	for range rounds {
+		one()
+	}
+	return float64(time.Since(began).Microseconds()) / rounds
+}
+
+func entryBytes(n int) float64 {
+	r := entryReport(n)
+	return bytesOf(r) + bytesOf(notch.EntryGrant{Term: 2, Slots: r.Holds, Voters: []string{"a", "b", "c"}})
+}
+
+func announcementsOf(n int) notch.Announcements {
+	var m notch.Announcements
+	for _, b := range serversUpTo(n) {
+		m.Servers = append(m.Servers, notch.Announcement{Server: b, TTL: 5 * time.Second})
+	}
+	return m
+}
+
+func announceBytes(n int) float64 { return bytesOf(announcementsOf(n)) }
+
+func announceCost(n int) float64 {
+	d := &driver{state: notch.NewState(member.New(notch.Daemon{Name: "a", Domain: "north"}, 0, 0)), now: notch.Time(time.Hour)}
+	m := announcementsOf(n)
+	return micros(20, func() {
+		d.step(notch.MessageReceived{From: "b", Message: m})
+		d.step(notch.Flush{})
+	})
+}
+
+func routesUpTo(n int) []notch.Route {
+	var out []notch.Route
+	for i := range n {
+		out = append(out, notch.Route{Name: fmt.Sprintf("route-%04d", i), Path: fmt.Sprintf("/route-%04d", i), Pool: "s", Timeout: time.Second})
+	}
+	return out
+}
+
+func editBytes(n int) float64 {
+	return bytesOf(notch.EntryGrant{Tables: &notch.Tables{Revision: 1, Routes: routesUpTo(n)}})
+}
+
+func editCost(n int) float64 {
+	d := &driver{state: notch.NewState(table.New()), now: notch.Time(time.Hour)}
+	commit(d, notch.EditTable{ID: "p", Table: notch.PoolsTable, Pools: []notch.Pool{
+		{Name: notch.ControlPool, Kind: notch.ReplicaPool, Hosts: []string{"a"}}, {Name: "s", Kind: notch.ServicePool},
+	}})
+	routes, i := routesUpTo(n), uint64(0)
+	return micros(30, func() {
+		commit(d, notch.EditTable{ID: fmt.Sprint(i), Table: notch.RoutesTable, Base: i, Routes: routes})
+		i++
+	})
+}
+
+func placedBytes(n int) float64 {
+	var c notch.PlaceTasks
+	for i := range n {
+		c.Placements = append(c.Placements, notch.Placement{
+			Task: notch.NewTaskID(fmt.Sprintf("job-%06d", i), i%50), Worker: workerNamed(i).Name, Incarnation: 1,
+		})
+	}
+	return bytesOf(notch.AppendRequest{Term: 2, Leader: "a", Entries: []notch.Entry{{Index: 1, Term: 2, Command: c}}})
+}
+
+// proposeCost is the cost of a batch of proposals at a lone leader, synced at once.
+func proposeCost(n int) float64 {
+	r := notch.Replica{Name: "a", Storage: 1}
+	d := &driver{state: notch.NewState(consensus.New(r)), now: notch.Time(time.Hour)}
+	for _, f := range d.step(consensus.Bootstrap(r)) {
+		loopBack(d, f)
+	}
+	return micros(20, func() {
+		for i := range n {
+			d.step(notch.Proposal{Command: notch.ClaimRequest{ID: "r/order", Entry: "a", Token: uint64(i)}})
+		}
+		for _, f := range d.step(notch.Flush{}) {
+			loopBack(d, f)
+		}
+	})
+}
+
+// loopBack plays the journal and the own link.
+func loopBack(d *driver, f notch.Effect) {
+	p, ok := f.(notch.Persist)
+	if !ok {
+		return
+	}
+	for _, s := range p.Then {
+		for _, f := range d.step(notch.MessageReceived{From: s.To, Message: s.Message}) {
+			loopBack(d, f)
+		}
+	}
+	if n := len(p.Entries); n > 0 {
+		for _, f := range d.step(notch.Persisted{Term: p.Hard.Term, Index: p.Entries[n-1].Index}) {
+			loopBack(d, f)
+		}
+	}
+}
+
+// laneState is a lane with n backend servers and all their slots.
+func laneState(n int) *driver {
+	d := &driver{state: notch.NewState(traffic.New(0, "north")), now: notch.Time(time.Hour)}
+	d.step(notch.TablesApplied{Tables: notch.Tables{Revision: 1, Pools: []notch.Pool{{Name: "s", Kind: notch.ServicePool}}}})
+	d.step(notch.ServersChanged{Servers: serversUpTo(n)})
+	g := notch.SlotsGranted{Seq: 1, Until: d.now + notch.Time(time.Hour), Entries: 9}
+	for _, b := range serversUpTo(n) {
+		g.Slots = append(g.Slots, notch.Hold{Server: b.ID(), Slots: 8})
+	}
+	d.step(g)
+	d.now += notch.Time(10 * time.Second)
+	return d
+}
+
+func requestCost(n int) float64 {
+	d := laneState(n)
+	route := notch.Route{Name: "r", Pool: "s", Timeout: time.Second}
+	id := uint64(0)
+	return micros(500, func() {
+		id++
+		r := notch.Request{ID: id, Route: route, Kind: "k", Idempotent: true, Replayable: true, Deadline: d.now + notch.Time(time.Second)}
+		for _, f := range d.step(notch.RequestArrived{Request: r}) {
+			if x, ok := f.(notch.Dispatch); ok {
+				d.step(notch.AttemptEnded{Request: id, Attempt: x.Attempt, Server: x.Server.ID(), Latency: 20 * time.Millisecond})
+			}
+		}
+	})
+}
+
+// journalPoint is what a journal on real files does at a load.
+type journalPoint struct {
+	perSync int
+	micros  float64 // of one sync with its encoding
+	bytes   float64 // of one command in the log
+}
+
+// journalPoints times syncs in a temporary folder.
+func journalPoints() []journalPoint {
+	var out []journalPoint
+	for _, n := range []int{1, 32, 320} {
+		dir, err := os.MkdirTemp("", "notch-journal-")
+		if err != nil {
+			return out
+		}
+		j := journal.New(journal.Folder(dir))
+		if _, _, err := j.Identity(journal.Identity{Storage: 1}); err != nil {
+			return out
+		}
+		if _, err := j.Load(); err != nil {
+			return out
+		}
+		index := uint64(0)
+		cost := micros(30, func() {
+			p := notch.Persist{Hard: notch.HardState{Term: 1}}
+			for range n {
+				index++
+				p.Entries = append(p.Entries, notch.Entry{Index: index, Term: 1, Command: notch.ClaimRequest{ID: "r/order-123456", Entry: "a", Token: index}})
+			}
+			j.Append([]notch.Persist{p})
+		})
+		j.Close()
+		os.RemoveAll(dir)
+		out = append(out, journalPoint{perSync: n, micros: cost, bytes: placedBytes(1000) / 1000})
+	}
+	return out
+}
+
+func (m measured) journalTable() Table {
+	t := Table{Title: "a journal on this host's disk", Columns: []string{"commands in a sync", "us a sync", "commands a second at most"}}
+	for _, p := range m.commits {
+		t.Rows = append(t.Rows, Row{"", []float64{float64(p.perSync), p.micros, float64(p.perSync) / p.micros * 1e6}})
+	}
+	return t
+}
--- a/experiment/stubs.go
+++ /dev/null
@@ -1,3 +0,0 @@
-package experiment
-
-func Capacity(full bool, seed uint64) []Table { return nil }
