Make a lane's step cheaper

Cause: a list of backend servers copies 32 whole values at a change, and the default picker looked at all of them. Change: lists and maps hold pointers to values that are never modified; the picker draws six.

--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -37,7 +37,7 @@
 	Lanes         int      `arg:"--lanes,env:NOTCH_LANES" default:"4" help:"goroutines that decide about requests; a pool belongs to one of them"`
 	DrainDelay    Duration `arg:"--drain-delay,env:NOTCH_DRAIN_DELAY" default:"3s" help:"time between becoming unready and closing the listener, for the balancer to notice" placeholder:"DURATION"`
 	StopTimeout   Duration `arg:"--stop-timeout,env:NOTCH_STOP_TIMEOUT" default:"60s" help:"most time that requests in flight get to end at a stop" placeholder:"DURATION"`
-	Picker        string   `arg:"--picker,env:NOTCH_PICKER" default:"work" help:"choice of a backend server: work, tail, load, two or random"`
+	Picker        string   `arg:"--picker,env:NOTCH_PICKER" default:"work" help:"choice of a backend server: work, tail, load, all, two or random"`
 	Queue         string   `arg:"--queue,env:NOTCH_QUEUE" default:"short-first" help:"order of waiting requests: short-first or fifo"`
 	Retry         string   `arg:"--retry,env:NOTCH_RETRY" default:"budget" help:"retries: budget, no-hedge or unlimited"`
 	Share         string   `arg:"--share,env:NOTCH_SHARE" default:"demand" help:"division of slots between entries: demand or equal"`
--- a/experiment/traffic.go
+++ b/experiment/traffic.go
@@ -74,6 +74,7 @@
 		base("chosen", func(*policy) {}),
 		base("pick tail (p95)", func(p *policy) { p.traffic.Picker = picker("tail") }),
 		base("pick load", func(p *policy) { p.traffic.Picker = picker("load") }),
+		base("pick scan of all", func(p *policy) { p.traffic.Picker = picker("all") }),
 		base("pick two of all", func(p *policy) { p.traffic.Picker = picker("two") }),
 		base("pick random", func(p *policy) { p.traffic.Picker = picker("random") }),
 		base("queue fifo", func(p *policy) { p.traffic.Order = queue.FIFO{} }),
--- a/load/settings.go
+++ b/load/settings.go
@@ -22,7 +22,7 @@
 // choices are the decisions that can be replaced by a naive baseline.
 type choices struct {
 	Naive     bool   `arg:"--naive" help:"the naive baseline of every decision"`
-	Picker    string `arg:"--picker" default:"work" help:"work, tail, load, two or random"`
+	Picker    string `arg:"--picker" default:"work" help:"work, tail, load, all, two or random"`
 	Queue     string `arg:"--queue" default:"short-first" help:"short-first or fifo"`
 	Retry     string `arg:"--retry" default:"budget" help:"budget, no-hedge or unlimited"`
 	Share     string `arg:"--share" default:"demand" help:"demand or equal"`
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -137,12 +137,13 @@
 }
 
 // Names lists the pickers, the default first.
-func Names() []string { return []string{"work", "tail", "load", "two", "random"} }
+func Names() []string { return []string{"work", "tail", "load", "all", "two", "random"} }
 
 var pickers = map[string]notch.Picker{
-	"work":   Scored{Score: ByWork},
-	"tail":   Scored{Score: ByTail},
-	"load":   Scored{Score: ByLoad},
+	"work":   Scored{Draws: 6, Score: ByWork},
+	"tail":   Scored{Draws: 6, Score: ByTail},
+	"load":   Scored{Draws: 6, Score: ByLoad},
+	"all":    Scored{Score: ByWork},
 	"two":    Scored{Draws: 2, Score: ByWork},
 	"random": Random{},
 }
--- a/state.go
+++ b/state.go
@@ -32,9 +32,9 @@
 // on every replica alike.
 func Step(s State, e Event) (State, []Effect) {
 	s.parts = slices.Clone(s.parts)
-	var out []Effect
-	pending := []Body{e.Body}
-	for n := uint64(0); len(pending) > 0; n++ {
+	pending, out := s.reduce(Event{At: e.At, Seed: Mix(e.Seed), Body: e.Body})
+	slices.Reverse(pending)
+	for n := uint64(1); len(pending) > 0; n++ {
 		body := pending[len(pending)-1]
 		pending = pending[:len(pending)-1]
 		if due, ok := body.(SnapshotDue); ok {
@@ -53,6 +53,9 @@
 	for i, p := range s.parts {
 		next, effects := p.Step(e)
 		s.parts[i] = next
+		if len(s.parts) == 1 && !slices.ContainsFunc(effects, isEmit) {
+			return nil, effects
+		}
 		for _, f := range effects {
 			if f, ok := f.(Emit); ok {
 				emitted = append(emitted, f.Body)
@@ -64,6 +67,11 @@
 	return emitted, out
 }
 
+func isEmit(f Effect) bool {
+	_, ok := f.(Emit)
+	return ok
+}
+
 func (s State) snapshot(due SnapshotDue) Snapshot {
 	snap := Snapshot{Index: due.Index, Term: due.Term, Replicas: due.Replicas}
 	for _, p := range s.parts {
--- a/traffic/pool.go
+++ b/traffic/pool.go
@@ -13,8 +13,8 @@
 // pool is a lane's view of one pool. It is immutable.
 type pool struct {
 	config   notch.Pool
-	servers  *immutable.List[server]
-	index    map[notch.ServerID]int // positions in servers; replaced as a whole
+	servers  *immutable.List[*server] // what is pointed to is never modified
+	index    map[notch.ServerID]int   // positions in servers; replaced as a whole
 	gone     *immutable.SortedMap[notch.ServerID, int]
 	queue    *immutable.SortedMap[queueKey, struct{}]
 	kinds    *immutable.Map[string, kindStats]
@@ -27,7 +27,7 @@
 func newPool(c notch.Pool) pool {
 	return pool{
 		config:  c,
-		servers: immutable.NewList[server](),
+		servers: immutable.NewList[*server](),
 		gone:    immutable.NewSortedMap[notch.ServerID, int](nil),
 		queue:   immutable.NewSortedMap[queueKey, struct{}](queueKeys{}),
 		kinds:   immutable.NewMap[string, kindStats](nil),
@@ -36,7 +36,7 @@
 }
 
 func (p pool) withServer(i int, s server) pool {
-	p.servers = p.servers.Set(i, s)
+	p.servers = p.servers.Set(i, &s)
 	return p
 }
 
@@ -140,13 +140,14 @@
 }
 
 func (p pool) withCaps(caps map[notch.ServerID]int) pool {
-	b := immutable.NewListBuilder[server]()
+	b := immutable.NewListBuilder[*server]()
 	p.capacity = 0
 	for it := p.servers.Iterator(); !it.Done(); {
-		_, s := it.Next()
+		_, old := it.Next()
+		s := *old
 		s.slots = caps[s.id]
 		p.capacity += s.slots
-		b.Append(s)
+		b.Append(&s)
 	}
 	p.servers = b.List()
 	return p
@@ -157,19 +158,19 @@
 func (p pool) withServers(bs []notch.BackendServer, caps map[notch.ServerID]int, now notch.Time) pool {
 	old := p.servers
 	oldIndex := p.index
-	list := immutable.NewListBuilder[server]()
+	list := immutable.NewListBuilder[*server]()
 	p.index = make(map[notch.ServerID]int, len(bs))
 	for _, b := range bs {
 		s := newServer(b, now)
 		if k, ok := oldIndex[s.id]; ok {
-			s = old.Get(k)
+			s = *old.Get(k)
 			s.server = b
 		} else if n, ok := p.gone.Get(s.id); ok {
 			s.inFlight = n
 			p.gone = p.gone.Delete(s.id)
 		}
 		p.index[s.id] = list.Len()
-		list.Append(s)
+		list.Append(&s)
 	}
 	for it := old.Iterator(); !it.Done(); {
 		_, s := it.Next()
@@ -238,7 +239,7 @@
 		for it := p.queue.Iterator(); !it.Done(); {
 			key, _, _ := it.Next()
 			if q, ok := s.requests.Get(key.id); ok {
-				s.refuse(q, notch.RefusedNoServer, 0)
+				s.refuse(*q, notch.RefusedNoServer, 0)
 			}
 		}
 	}
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -84,7 +84,7 @@
 	slots    notch.SlotsGranted
 	caps     map[notch.ServerID]int
 	pools    pools
-	requests *immutable.Map[uint64, request]
+	requests *immutable.Map[uint64, *request] // what is pointed to is never modified
 	told     notch.LaneLoad
 }
 
@@ -98,7 +98,7 @@
 func New(lane int, domain string, opts ...Option) Part {
 	p := Part{
 		lane: lane, domain: domain, policy: DefaultPolicy(),
-		requests: immutable.NewMap[uint64, request](nil),
+		requests: immutable.NewMap[uint64, *request](nil),
 		told:     notch.LaneLoad{Lane: -1},
 	}
 	for _, opt := range opts {
@@ -143,10 +143,17 @@
 
 func (s *stepper) count(name string) { s.out = append(s.out, notch.Count{Name: name, Delta: 1}) }
 
+// The counters of every request are effects made once: they are the most frequent.
+var (
+	countRequest  notch.Effect = notch.Count{Name: "requests", Delta: 1}
+	countSend     notch.Effect = notch.Count{Name: "sends", Delta: 1}
+	countAnswered notch.Effect = notch.Count{Name: "answered", Delta: 1}
+)
+
 func (s *stepper) leased() bool { return s.now.Before(s.slots.Until) }
 
 func (s *stepper) arrive(r notch.Request) {
-	s.count("requests")
+	s.out = append(s.out, countRequest)
 	i := s.pools.find(r.Route.Pool)
 	if i < 0 {
 		s.refuse(request{Request: r}, notch.RefusedNoServer, 0)
@@ -175,11 +182,11 @@
 	b := pool.servers.Get(k).starting()
 	s.pools = s.pools.with(i, pool.withServer(k, b).withInFlight(1))
 	q = q.withFlight(b.id)
-	s.requests = s.requests.Set(q.ID, q)
+	s.requests = s.requests.Set(q.ID, &q)
 	if b.server.Domain != s.domain {
 		s.count("sends-to-other-domains")
 	}
-	s.count("sends")
+	s.out = append(s.out, countSend)
 	s.out = append(s.out, notch.Dispatch{
 		Request: q.ID, Attempt: q.attempts, Server: b.server,
 		Idle: s.idleConnections(b.server), Deadline: q.Deadline,
@@ -202,8 +209,12 @@
 // hedge sends a late request to a second backend server, if one has room that
 // nobody waits for.
 func (s *stepper) hedge(id uint64) {
-	q, ok := s.requests.Get(id)
-	if !ok || q.answered || len(q.flights) != 1 || !s.leased() {
+	held, ok := s.requests.Get(id)
+	if !ok {
+		return
+	}
+	q := *held
+	if q.answered || len(q.flights) != 1 || !s.leased() {
 		return
 	}
 	i := s.pools.find(q.Route.Pool)
@@ -228,10 +239,11 @@
 }
 
 func (s *stepper) callerGone(id uint64) {
-	q, ok := s.requests.Get(id)
-	if !ok || !q.waiting {
+	held, ok := s.requests.Get(id)
+	if !ok || !held.waiting {
 		return
 	}
+	q := *held
 	i := s.pools.find(q.Route.Pool)
 	if i >= 0 {
 		s.pools = s.pools.with(i, s.pools[i].withoutWaiting(q.key))
@@ -240,11 +252,12 @@
 }
 
 func (s *stepper) ended(b notch.AttemptEnded) {
-	q, ok := s.requests.Get(b.Request)
+	held, ok := s.requests.Get(b.Request)
 	if !ok {
 		return
 	}
-	if q, ok = q.withoutFlight(b); !ok {
+	q, ok := held.withoutFlight(b)
+	if !ok {
 		return
 	}
 	i := s.pools.find(q.Route.Pool)
@@ -262,7 +275,7 @@
 	q.mayRun = q.mayRun || b.Outcome != notch.AttemptNotSent && b.Outcome != notch.AttemptRefused
 	switch {
 	case len(q.flights) > 0:
-		s.requests = s.requests.Set(q.ID, q)
+		s.requests = s.requests.Set(q.ID, &q)
 	case q.answered || b.Outcome == notch.AttemptOK:
 		s.requests = s.requests.Delete(q.ID)
 	default:
@@ -295,12 +308,12 @@
 	final := o == notch.AttemptOK || o == notch.AttemptCut || o == notch.AttemptCanceled
 	if final && !q.answered {
 		q.answered = true
-		s.count(outcomeCounters[o])
+		s.out = append(s.out, outcomeCounters[o])
 	}
 	q.mayRun = q.mayRun || o == notch.AttemptFailed
 	switch {
 	case len(q.flights) > 0:
-		s.requests = s.requests.Set(q.ID, q)
+		s.requests = s.requests.Set(q.ID, &q)
 	case q.answered:
 		s.requests = s.requests.Delete(q.ID)
 	default:
@@ -329,8 +342,8 @@
 	s.refuse(q, reason, time.Second)
 }
 
-var outcomeCounters = map[notch.AttemptOutcome]string{
-	notch.AttemptOK:       "answered",
-	notch.AttemptCut:      "answers-cut",
-	notch.AttemptCanceled: "callers-gone",
+var outcomeCounters = [...]notch.Effect{
+	notch.AttemptOK:       countAnswered,
+	notch.AttemptCut:      notch.Count{Name: "answers-cut", Delta: 1},
+	notch.AttemptCanceled: notch.Count{Name: "callers-gone", Delta: 1},
 }
--- a/traffic/wait.go
+++ b/traffic/wait.go
@@ -41,7 +41,7 @@
 		}
 	}
 	q.waiting = true
-	s.requests = s.requests.Set(q.ID, q)
+	s.requests = s.requests.Set(q.ID, &q)
 	s.pools = s.pools.with(i, pool.withWaiting(q.key))
 }
 
@@ -70,11 +70,12 @@
 		if !ok || !pool.hasRoom(s.now) {
 			return
 		}
-		q, known := s.requests.Get(key.id)
+		held, known := s.requests.Get(key.id)
 		if !known {
 			s.pools = s.pools.with(i, pool.withoutWaiting(key))
 			continue
 		}
+		q := *held
 		if s.hopeless(pool, q) {
 			s.pools = s.pools.with(i, pool.withoutWaiting(key))
 			s.refuse(q, notch.RefusedDeadline, s.retryAfter(pool))
@@ -111,7 +112,7 @@
 	for it := s.pools[i].queue.Iterator(); !it.Done(); {
 		key, _, _ := it.Next()
 		q, known := s.requests.Get(key.id)
-		if known && s.leased() && !s.hopeless(s.pools[i], q) {
+		if known && s.leased() && !s.hopeless(s.pools[i], *q) {
 			continue
 		}
 		s.pools = s.pools.with(i, s.pools[i].withoutWaiting(key))
@@ -119,9 +120,9 @@
 			continue
 		}
 		if !s.leased() {
-			s.refuse(q, notch.RefusedNoLease, time.Second)
+			s.refuse(*q, notch.RefusedNoLease, time.Second)
 		} else {
-			s.refuse(q, notch.RefusedDeadline, s.retryAfter(s.pools[i]))
+			s.refuse(*q, notch.RefusedDeadline, s.retryAfter(s.pools[i]))
 		}
 	}
 }
