--- a/experiment/capacity.go
+++ b/experiment/capacity.go
@@ -258,46 +258,56 @@
 	return bytesOf(notch.WorkerRequest{Ticket: 1, Beat: h}) + bytesOf(notch.WorkerReply{Ticket: 1, Reply: notch.HeartbeatReply{Known: true, Lease: time.Second}})
 }
 
-// planned is how many placements one plan of the measurement makes.
+// planned is how many tasks each plan of the measurement finds.
 const planned = 500
 
-// planCost is the cost of one placement, from the plan to its commit.
-func planCost(n int) float64 {
-	d := workerState(n)
-	addJobs(d, 6*planned, 50)
-	return micros(5, func() {
-		d.now += notch.Time(time.Second)
-		var cmd notch.Command
-		var ps []notch.Placement
-		for _, f := range d.step(notch.Tick{}) {
-			_ = f
-		}
-		cmd, ps = plannedBy(d)
-		if cmd != nil {
-			commit(d, notch.PlaceTasks{Placements: ps[:min(len(ps), planned)]})
-		}
-	}) / planned
+// recorder is a part that keeps the last proposal.
+type recorder struct{ last notch.Command }
+
+// Step implements [notch.Part].
+func (r recorder) Step(e notch.Event) (notch.Part, []notch.Effect) {
+	if p, ok := e.Body.(notch.Proposal); ok {
+		r.last = p.Command
+	}
+	return r, nil
 }
 
-// plannedBy has the parts plan and returns the command that they propose.
-func plannedBy(d *driver) (notch.Command, []notch.Placement) {
+func recorded(d *driver) notch.Command {
 	for _, p := range d.state.Parts() {
-		b, ok := p.(batch.Part)
-		if !ok {
-			continue
+		if r, ok := p.(recorder); ok {
+			return r.last
 		}
-		_, effects := b.Step(notch.Event{At: d.now + notch.Time(time.Minute), Seed: 1, Body: notch.Tick{}})
-		for _, f := range effects {
-			if e, ok := f.(notch.Emit); ok {
-				if pr, ok := e.Body.(notch.Proposal); ok {
-					if c, ok := pr.Command.(notch.PlaceTasks); ok {
-						return c, c.Placements
-					}
-				}
-			}
+	}
+	return nil
+}
+
+// planCost is the cost of one placement, from the plan to its commit.
+func planCost(n int) float64 {
+	d := leaderOf(batch.New(), recorder{})
+	for i := range n {
+		commit(d, notch.RegisterWorker{Worker: workerNamed(i)})
+		d.step(notch.Beat{Origin: "a", Beat: beatOf(i, 0)})
+	}
+	const rounds = 6
+	costs := make([]float64, rounds)
+	for i := range costs {
+		for k := range planned / 50 {
+			commit(d, notch.SubmitJob{Job: notch.Job{
+				ID: fmt.Sprintf("job-%d-%d", i, k), Pool: capacityPool, Kind: fmt.Sprintf("kind-%d", k), Class: notch.Normal,
+				Tasks: 50, Size: notch.Resources{MilliCPU: 500, MemoryMB: 500},
+			}})
+		}
+		d.now += notch.Time(30 * time.Millisecond)
+		began := time.Now()
+		d.step(notch.Tick{})
+		c, ok := recorded(d).(notch.PlaceTasks)
+		if !ok || len(c.Placements) != planned {
+			panic(fmt.Sprintf("the plan for %d workers placed %d of %d tasks", n, len(c.Placements), planned))
 		}
+		commit(d, c)
+		costs[i] = float64(time.Since(began).Microseconds()) / planned
 	}
-	return nil, nil
+	return median(costs)
 }
 
 func reportCost(n int) float64 {
