Count tasks in the interference estimate and place by it

Change: the estimate weighs each kind by its tasks, rises faster than it falls, and isn't taught by throttled tasks; a placement costs the estimated pressure above what services bear.

--- a/batch/protect.go
+++ b/batch/protect.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"math"
 	"slices"
 
 	notch "tamaracknotch"
@@ -21,7 +22,8 @@
 // watch learns from a worker's report and protects its services.
 func (s *stepper) watch(w notch.Worker, u notch.Usage) {
 	kinds, steady := s.kindsSince(w.Name, s.now.Add(-u.Age))
-	if steady {
+	// What throttled tasks do says little of what they would do.
+	if _, slowed := s.throttled.Get(w.Name); steady && !slowed {
 		s.harm = s.harm.WithSample(kinds, u.Pressure)
 	}
 	if !s.policy.Protect {
@@ -59,10 +61,11 @@
 
 // worst returns the kind that does the most harm beside the others.
 func (s *stepper) worst(kinds []string) []string {
-	best, most := kinds[0], -1.0
+	best, least := kinds[0], math.Inf(1)
 	for _, k := range kinds {
-		if h := s.harm.Harm(k, kinds); h > most {
-			best, most = k, h
+		rest := slices.DeleteFunc(slices.Clone(kinds), func(o string) bool { return o == k })
+		if p := s.harm.Pressure(rest); p < least {
+			best, least = k, p
 		}
 	}
 	return []string{best}
--- a/event.go
+++ b/event.go
@@ -265,7 +265,7 @@
 func (ReplicaSeen) body()      {}
 func (ServersChanged) body()   {}
 func (SlotsGranted) body()     {}
-func (LeaseExtended) body() {}
+func (LeaseExtended) body()    {}
 func (LaneLoad) body()         {}
 func (RequestArrived) body()   {}
 func (AttemptEnded) body()     {}
--- a/interfere/interfere.go
+++ b/interfere/interfere.go
@@ -14,8 +14,8 @@
 // WithSample implements [notch.Interference].
 func (n None) WithSample([]string, float64) notch.Interference { return n }
 
-// Harm implements [notch.Interference].
-func (None) Harm(string, []string) float64 { return 0 }
+// Pressure implements [notch.Interference].
+func (None) Pressure([]string) float64 { return 0 }
 
 // pair is two kinds in lexical order; the second is empty for a kind by itself.
 type pair struct{ a, b string }
@@ -43,70 +43,82 @@
 	return pair{a, b}
 }
 
-// Pairs adds up a harm of each kind and of each pair of kinds. Each report
-// corrects the terms that it involves by a part of the error (the normalized
-// least-mean-squares rule).
+// Pairs adds up a harm for each task by its kind, and one for each pair of kinds
+// that run together. Each report corrects the terms that it involves by a part of
+// the error (the normalized least-mean-squares rule). It rises faster than it
+// falls, so that it leans towards the pressure at the crest of the services' load.
 type Pairs struct{ harm *immutable.Map[pair, float64] }
 
 // New returns an estimate that knows of no harm.
 func New() Pairs { return Pairs{harm: immutable.NewMap[pair, float64](pairHasher{})} }
 
-// rate is the part of an error that one report corrects.
-const rate = 0.3
+// The part of an error that one report corrects.
+const (
+	rateUp   = 0.4
+	rateDown = 0.1
+)
 
-// maxKinds bounds the terms of one report.
+// maxKinds bounds the kinds of one report.
 const maxKinds = 12
 
-// WithSample implements [notch.Interference].
-func (p Pairs) WithSample(kinds []string, pressure float64) notch.Interference {
-	terms := termsOf(kinds)
-	if len(terms) == 0 {
-		return p
-	}
-	estimate := 0.0
-	for _, t := range terms {
-		h, _ := p.harm.Get(t)
-		estimate += h
-	}
-	step := rate * (pressure - estimate) / float64(len(terms))
-	for _, t := range terms {
-		h, _ := p.harm.Get(t)
-		p.harm = p.harm.Set(t, max(0, h+step))
-	}
-	return p
+// term is a weighted harm.
+type term struct {
+	of     pair
+	weight float64
 }
 
-// termsOf lists each kind and each pair of distinct kinds once.
-func termsOf(kinds []string) []pair {
-	var distinct []string
-	seen := map[string]bool{}
+// termsOf lists each kind, weighted by its tasks, and each pair of distinct kinds.
+func termsOf(kinds []string) []term {
+	out := make([]term, 0, len(kinds))
 	for _, k := range kinds {
-		if !seen[k] && len(distinct) < maxKinds {
-			seen[k] = true
-			distinct = append(distinct, k)
+		i := 0
+		for i < len(out) && out[i].of.a != k {
+			i++
+		}
+		if i < len(out) {
+			out[i].weight++
+		} else if len(out) < maxKinds {
+			out = append(out, term{pair{a: k}, 1})
 		}
 	}
-	var out []pair
-	for i, a := range distinct {
-		out = append(out, pair{a: a})
-		for _, b := range distinct[i+1:] {
-			out = append(out, pairOf(a, b))
+	for i, n := 0, len(out); i < n; i++ {
+		for j := i + 1; j < n; j++ {
+			out = append(out, term{pairOf(out[i].of.a, out[j].of.a), 1})
 		}
 	}
 	return out
 }
 
-// Harm implements [notch.Interference].
-func (p Pairs) Harm(kind string, others []string) float64 {
-	sum, _ := p.harm.Get(pair{a: kind})
-	seen := map[string]bool{kind: true}
-	for _, o := range others {
-		if seen[o] || len(seen) > maxKinds {
-			continue
-		}
-		seen[o] = true
-		h, _ := p.harm.Get(pairOf(kind, o))
-		sum += h
+func (p Pairs) sum(terms []term) float64 {
+	sum := 0.0
+	for _, t := range terms {
+		h, _ := p.harm.Get(t.of)
+		sum += h * t.weight
 	}
 	return sum
 }
+
+// WithSample implements [notch.Interference].
+func (p Pairs) WithSample(kinds []string, pressure float64) notch.Interference {
+	terms := termsOf(kinds)
+	if len(terms) == 0 {
+		return p
+	}
+	missing := pressure - p.sum(terms)
+	rate := rateDown
+	if missing > 0 {
+		rate = rateUp
+	}
+	norm := 0.0
+	for _, t := range terms {
+		norm += t.weight * t.weight
+	}
+	for _, t := range terms {
+		h, _ := p.harm.Get(t.of)
+		p.harm = p.harm.Set(t.of, max(0, h+rate*missing*t.weight/norm))
+	}
+	return p
+}
+
+// Pressure implements [notch.Interference].
+func (p Pairs) Pressure(kinds []string) float64 { return p.sum(termsOf(kinds)) }
--- a/message.go
+++ b/message.go
@@ -248,7 +248,7 @@
 func (Hello) message()           {}
 func (Goodbye) message()         {}
 func (Announcements) message()   {}
-func (Resend) message() {}
+func (Resend) message()          {}
 func (EntryReport) message()     {}
 func (EntryGrant) message()      {}
 func (WorkerRequest) message()   {}
--- a/place/place.go
+++ b/place/place.go
@@ -66,16 +66,21 @@
 	return -1
 }
 
+// comfortable is the pressure up to which services don't suffer noticeably.
+const comfortable = 0.3
+
 // The weights of the cost of a placement.
 const (
-	harmWeight        = 4.0 // per unit of pressure added to services
-	pressureWeight    = 2.0 // per unit of pressure already there
-	leftoverWeight    = 1.0 // per share of the worker left free: full workers first
+	harmWeight        = 8.0 // per unit of estimated pressure above comfortable
+	addedWeight       = 1.0 // per unit of pressure added
+	leftoverWeight    = 0.5 // per share of the worker left free: full workers first
 	acceleratorWeight = 2.0 // for using up a worker with accelerators without need
 )
 
 func (p Scored) cost(r notch.PlaceRequest, w notch.WorkerView) float64 {
-	cost := harmWeight*p.Interference.Harm(r.Job.Kind, w.Kinds) + pressureWeight*w.Pressure
+	before := p.Interference.Pressure(w.Kinds)
+	after := p.Interference.Pressure(append(w.Kinds[:len(w.Kinds):len(w.Kinds)], r.Job.Kind))
+	cost := harmWeight*max(0, after-comfortable) + addedWeight*(after-before)
 	cost += leftoverWeight * w.Free.Minus(r.Size).Share(w.Worker.Size)
 	if r.Size.Accelerators == 0 && w.Worker.Size.Accelerators > 0 {
 		cost += acceleratorWeight
--- a/policy.go
+++ b/policy.go
@@ -136,8 +136,8 @@
 // services beside them. It is immutable.
 type Interference interface {
 	// WithSample returns it with one more report: the kinds that ran when the
-	// pressure was measured.
+	// pressure was measured, one entry a task.
 	WithSample(kinds []string, pressure float64) Interference
-	// Harm estimates the pressure that a task of kind adds beside the others.
-	Harm(kind string, others []string) float64
+	// Pressure estimates the pressure where tasks of these kinds run together.
+	Pressure(kinds []string) float64
 }
