--- a/batch/apply.go
+++ b/batch/apply.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
-
-	"github.com/benbjohnson/immutable"
 
 	notch "tamaracknotch"
 )
@@ -310,56 +307,6 @@
 	s.out = append(s.out, notch.Notice{Text: text, Fields: []notch.Field{{Name: "worker", Value: w.Name}}})
 }
 
-// change replaces a task and keeps everything that is derived from it.
-func (s *stepper) change(j notch.Job, from, to notch.Task) {
-	s.tasks = s.tasks.Set(to.ID, to)
-	if from.Phase == to.Phase {
-		return
-	}
-	if from.Phase == notch.Queued {
-		s.dequeue(j, from)
-	}
-	if from.Phase.Occupies() && !to.Phase.Occupies() {
-		s.vacate(j, from)
-	}
-	if !from.Phase.Occupies() && to.Phase.Occupies() {
-		s.occupy(j, to)
-	}
-	if to.Phase == notch.Queued {
-		s.enqueue(j, to)
-	}
-	s.recount(j, from.Phase, to)
-}
-
-func (s *stepper) recount(j notch.Job, from notch.TaskPhase, to notch.Task) {
-	rec, _ := s.jobs.Get(j.ID)
-	rec.Counts[from]--
-	rec.Counts[to.Phase]++
-	over := rec.Counts[notch.Finished] + rec.Counts[notch.Failed] + rec.Counts[notch.Cancelled]
-	if over == j.Tasks && rec.Ended == 0 {
-		rec.Ended = to.Since
-		s.ended = s.ended.Append(j.ID)
-	}
-	s.jobs = s.jobs.Set(j.ID, rec)
-	s.count("tasks-"+to.Phase.String(), 1)
-}
-
-func (s *stepper) occupy(j notch.Job, t notch.Task) {
-	w, _ := s.workers.Get(t.Worker)
-	s.workers = s.workers.Set(w.Name, w.WithUsed(w.Used.Plus(j.Size)))
-	ids, _ := s.onWorker.Get(t.Worker)
-	s.onWorker = s.onWorker.Set(t.Worker, append(slices.Clip(ids), t.ID))
-	s.useQuota(j, j.Size)
-}
-
-func (s *stepper) vacate(j notch.Job, t notch.Task) {
-	w, _ := s.workers.Get(t.Worker)
-	s.workers = s.workers.Set(w.Name, w.WithUsed(w.Used.Minus(j.Size)))
-	ids, _ := s.onWorker.Get(t.Worker)
-	s.onWorker = s.onWorker.Set(t.Worker, slices.DeleteFunc(slices.Clone(ids), func(id notch.TaskID) bool { return id == t.ID }))
-	s.useQuota(j, notch.Resources{}.Minus(j.Size))
-}
-
 // forgetEnded drops the tasks of jobs that ended long ago, and older jobs whole.
 // It depends on the entry's time alone, so that all replicas agree.
 func (s *stepper) forgetEnded(at notch.Time) {
@@ -380,72 +327,3 @@
 		s.tasks = s.tasks.Delete(notch.NewTaskID(rec.Job.ID, i))
 	}
 }
-
-// Image implements [notch.ReplicatedPart].
-func (p Part) Image() notch.Image {
-	im := notch.BatchImage{Seq: p.seq}
-	for it := p.jobs.Iterator(); !it.Done(); {
-		_, j, _ := it.Next()
-		im.Jobs = append(im.Jobs, j)
-	}
-	for it := p.tasks.Iterator(); !it.Done(); {
-		_, t, _ := it.Next()
-		im.Tasks = append(im.Tasks, t)
-	}
-	for it := p.workers.Iterator(); !it.Done(); {
-		_, w, _ := it.Next()
-		im.Workers = append(im.Workers, w)
-	}
-	for it := p.times.Iterator(); !it.Done(); {
-		_, t, _ := it.Next()
-		im.Times = append(im.Times, t)
-	}
-	return im
-}
-
-func (s *stepper) restore(snap notch.Snapshot) {
-	for _, im := range snap.Images {
-		if b, ok := im.(notch.BatchImage); ok {
-			s.restoreImage(b)
-		}
-	}
-	s.dirty = true
-}
-
-func (s *stepper) restoreImage(im notch.BatchImage) {
-	s.Part = s.withoutState()
-	s.seq = im.Seq
-	for _, w := range im.Workers {
-		s.workers = s.workers.Set(w.Name, w.WithUsed(notch.Resources{}))
-	}
-	for _, t := range im.Times {
-		s.times = s.times.Set(t.Kind, t)
-	}
-	for _, j := range im.Jobs {
-		s.jobs = s.jobs.Set(j.Job.ID, j)
-	}
-	tasks := immutable.NewMapBuilder[notch.TaskID, notch.Task](nil)
-	for _, t := range im.Tasks {
-		tasks.Set(t.ID, t)
-		rec, _ := s.jobs.Get(t.Job)
-		switch {
-		case t.Phase == notch.Queued:
-			s.enqueue(rec.Job, t)
-		case t.Phase.Occupies():
-			s.occupy(rec.Job, t)
-		}
-	}
-	s.tasks = tasks.Map()
-	s.ended = endedOrder(im.Jobs)
-}
-
-// endedOrder lists the ended jobs, the earliest first.
-func endedOrder(jobs []notch.JobRecord) *immutable.List[string] {
-	ended := slices.DeleteFunc(slices.Clone(jobs), func(j notch.JobRecord) bool { return j.Ended == 0 })
-	slices.SortStableFunc(ended, func(a, b notch.JobRecord) int { return int(a.Ended.Sub(b.Ended)) })
-	list := immutable.NewList[string]()
-	for _, j := range ended {
-		list = list.Append(j.Job.ID)
-	}
-	return list
-}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -37,14 +37,65 @@
 	Lanes         int      `arg:"--lanes,env:NOTCH_LANES" default:"4" help:"goroutines that decide about requests; a pool belongs to one of them"`
 	DrainDelay    Duration `arg:"--drain-delay,env:NOTCH_DRAIN_DELAY" default:"3s" help:"time between becoming unready and closing the listener, for the balancer to notice" placeholder:"DURATION"`
 	StopTimeout   Duration `arg:"--stop-timeout,env:NOTCH_STOP_TIMEOUT" default:"60s" help:"most time that requests in flight get to end at a stop" placeholder:"DURATION"`
-	Picker        string   `arg:"--picker,env:NOTCH_PICKER" default:"work" help:"choice of a backend server: work, tail, load, all, two or random"`
-	Queue         string   `arg:"--queue,env:NOTCH_QUEUE" default:"short-first" help:"order of waiting requests: short-first or fifo"`
-	Retry         string   `arg:"--retry,env:NOTCH_RETRY" default:"budget" help:"retries: budget, no-hedge or unlimited"`
-	Share         string   `arg:"--share,env:NOTCH_SHARE" default:"demand" help:"division of slots between entries: demand or equal"`
-	Placer        string   `arg:"--placer,env:NOTCH_PLACER" default:"scored" help:"choice of a worker: scored or first-fit"`
-	TaskOrder     string   `arg:"--task-order,env:NOTCH_TASK_ORDER" default:"short-first" help:"order of queued tasks: short-first or fifo"`
-	LogFormat     string   `arg:"--log-format,env:NOTCH_LOG_FORMAT" default:"text" help:"text or json"`
-	LogLevel      string   `arg:"--log-level,env:NOTCH_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
+	Decisions
+	LogFormat string `arg:"--log-format,env:NOTCH_LOG_FORMAT" default:"text" help:"text or json"`
+	LogLevel  string `arg:"--log-level,env:NOTCH_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
+}
+
+// Decisions name the behaviour that varies; the last of each choice is a naive
+// baseline.
+type Decisions struct {
+	Picker    string `arg:"--picker,env:NOTCH_PICKER" default:"work" help:"choice of a backend server: work, tail, load, all, two or random"`
+	Queue     string `arg:"--queue,env:NOTCH_QUEUE" default:"short-first" help:"order of waiting requests: short-first or fifo"`
+	Retry     string `arg:"--retry,env:NOTCH_RETRY" default:"budget" help:"retries: budget, no-hedge or unlimited"`
+	Share     string `arg:"--share,env:NOTCH_SHARE" default:"demand" help:"division of slots between entries: demand or equal"`
+	Placer    string `arg:"--placer,env:NOTCH_PLACER" default:"scored" help:"choice of a worker: scored or first-fit"`
+	TaskOrder string `arg:"--task-order,env:NOTCH_TASK_ORDER" default:"short-first" help:"order of queued tasks: short-first or fifo"`
+}
+
+// DefaultDecisions returns those that measured best; see docs/DESIGN.md.
+func DefaultDecisions() Decisions {
+	return Decisions{
+		Picker: pick.Names()[0], Queue: queue.Names()[0], Retry: retry.Names()[0], Share: share.Names()[0],
+		Placer: place.Names()[0], TaskOrder: order.Names()[0],
+	}
+}
+
+// NaiveDecisions returns the baseline of each decision.
+func NaiveDecisions() Decisions {
+	last := func(names []string) string { return names[len(names)-1] }
+	return Decisions{
+		Picker: last(pick.Names()), Queue: last(queue.Names()), Retry: last(retry.Names()), Share: last(share.Names()),
+		Placer: last(place.Names()), TaskOrder: last(order.Names()),
+	}
+}
+
+// Wrong lists the choices that don't exist.
+func (d Decisions) Wrong() []string {
+	var bad []string
+	d.check(func(flag string, value any, allowed string) {
+		bad = append(bad, fmt.Sprintf("%s is %q: %s", flag, value, allowed))
+	})
+	return bad
+}
+
+func (d Decisions) check(fail func(string, any, string)) {
+	one := oneOf(fail)
+	one("--picker", d.Picker, pick.Names())
+	one("--queue", d.Queue, queue.Names())
+	one("--retry", d.Retry, retry.Names())
+	one("--share", d.Share, share.Names())
+	one("--placer", d.Placer, place.Names())
+	one("--task-order", d.TaskOrder, order.Names())
+}
+
+// oneOf returns a check that a value is one of several names.
+func oneOf(fail func(string, any, string)) func(flag, value string, names []string) {
+	return func(flag, value string, names []string) {
+		if !slices.Contains(names, value) {
+			fail(flag, value, "must be one of "+strings.Join(names, ", "))
+		}
+	}
 }
 
 // Duration is a duration setting in Go's notation.
@@ -60,8 +111,7 @@
 func Defaults(name, domain string) Settings {
 	return Settings{
 		Name: name, FailureDomain: domain, Listen: "127.0.0.1:0", Operators: "127.0.0.1:0", Link: "127.0.0.1:0",
-		Lanes: 2, StopTimeout: Duration(60 * time.Second), Picker: "work", Queue: "short-first", Retry: "budget",
-		Share: "demand", Placer: "scored", TaskOrder: "short-first", LogFormat: "text", LogLevel: "info",
+		Lanes: 2, StopTimeout: Duration(60 * time.Second), Decisions: DefaultDecisions(), LogFormat: "text", LogLevel: "info",
 	}
 }
 
@@ -133,17 +183,8 @@
 }
 
 func (s Settings) checkChoices(fail func(string, any, string)) {
-	check := func(flag, value string, names []string) {
-		if !slices.Contains(names, value) {
-			fail(flag, value, "must be one of "+strings.Join(names, ", "))
-		}
-	}
-	check("--picker", s.Picker, pick.Names())
-	check("--queue", s.Queue, queue.Names())
-	check("--retry", s.Retry, retry.Names())
-	check("--share", s.Share, share.Names())
-	check("--placer", s.Placer, place.Names())
-	check("--task-order", s.TaskOrder, order.Names())
-	check("--log-format", s.LogFormat, []string{"text", "json"})
-	check("--log-level", s.LogLevel, []string{"error", "warn", "info", "debug"})
+	s.Decisions.check(fail)
+	one := oneOf(fail)
+	one("--log-format", s.LogFormat, []string{"text", "json"})
+	one("--log-level", s.LogLevel, []string{"error", "warn", "info", "debug"})
 }
--- a/load/report.go
+++ b/load/report.go
@@ -10,17 +10,19 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"tamaracknotch/daemon"
 )
 
 // Report is the result of a default run. Durations are in milliseconds.
 type Report struct {
-	Choices  choices          `json:"choices"`
-	Services []ServiceReport  `json:"services"`
-	Batch    BatchReport      `json:"batch"`
-	Promises []PromiseReport  `json:"promises"`
-	Examples []string         `json:"examples,omitempty"`
-	Sends    float64          `json:"sends-per-request"`
-	Counters map[string]int64 `json:"counters"`
+	Decisions daemon.Decisions `json:"decisions"`
+	Services  []ServiceReport  `json:"services"`
+	Batch     BatchReport      `json:"batch"`
+	Promises  []PromiseReport  `json:"promises"`
+	Examples  []string         `json:"examples,omitempty"`
+	Sends     float64          `json:"sends-per-request"`
+	Counters  map[string]int64 `json:"counters"`
 }
 
 // ServiceReport is what callers of one service saw.
--- a/load/run.go
+++ b/load/run.go
@@ -15,7 +15,7 @@
 // run is the default run: load on a site, a backend server retired, a daemon
 // stopped gracefully, then the report.
 func run(s settings, progress io.Writer) (Report, error) {
-	s.choices = s.choices.resolved()
+	s = s.resolved()
 	x, err := startSite(s, progress)
 	if err != nil {
 		return Report{}, err
@@ -120,7 +120,7 @@
 }
 
 func (x *site) report(all []*callers, batch *batchLoad) Report {
-	r := Report{Choices: x.settings.choices, Counters: x.counters()}
+	r := Report{Decisions: x.settings.Decisions, Counters: x.counters()}
 	for _, c := range all {
 		c.settle()
 		r.Services = append(r.Services, c.report())
--- a/load/settings.go
+++ b/load/settings.go
@@ -4,35 +4,18 @@
 package load
 
 import (
-	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"tamaracknotch/daemon"
-	"tamaracknotch/order"
-	"tamaracknotch/pick"
-	"tamaracknotch/place"
-	"tamaracknotch/queue"
-	"tamaracknotch/retry"
-	"tamaracknotch/share"
 )
 
-// choices are the decisions that can be replaced by a naive baseline.
-type choices struct {
-	Naive     bool   `arg:"--naive" help:"the naive baseline of every decision"`
-	Picker    string `arg:"--picker" default:"work" help:"work, tail, load, all, two or random"`
-	Queue     string `arg:"--queue" default:"short-first" help:"short-first or fifo"`
-	Retry     string `arg:"--retry" default:"budget" help:"budget, no-hedge or unlimited"`
-	Share     string `arg:"--share" default:"demand" help:"demand or equal"`
-	Placer    string `arg:"--placer" default:"scored" help:"scored or first-fit"`
-	TaskOrder string `arg:"--task-order" default:"short-first" help:"short-first or fifo"`
-}
-
 // settings are the flags of a default run.
 type settings struct {
-	choices
+	daemon.Decisions
+	Naive    bool          `arg:"--naive" help:"the naive baseline of every decision"`
 	Duration time.Duration `arg:"--duration" default:"20s" help:"length of the load, 10s to 45s"`
 	Seed     uint64        `arg:"--seed" default:"1" help:"seed of the load"`
 	JSON     string        `arg:"--json" help:"write the report to this file; - for standard output" placeholder:"FILE"`
@@ -49,43 +32,17 @@
 	if s.Duration < minDuration || s.Duration > maxDuration {
 		return errors.Errorf("--duration is %v: must be %v to %v", s.Duration, minDuration, maxDuration)
 	}
-	return s.choices.check()
-}
-
-func (c choices) check() error {
-	var bad []string
-	one := func(flag, value string, names []string) {
-		if !slices.Contains(names, value) {
-			bad = append(bad, flag+" is "+value+": must be one of "+strings.Join(names, ", "))
-		}
-	}
-	one("--picker", c.Picker, pick.Names())
-	one("--queue", c.Queue, queue.Names())
-	one("--retry", c.Retry, retry.Names())
-	one("--share", c.Share, share.Names())
-	one("--placer", c.Placer, place.Names())
-	one("--task-order", c.TaskOrder, order.Names())
-	if len(bad) > 0 {
+	if bad := s.Wrong(); len(bad) > 0 {
 		return errors.New(strings.Join(bad, "; "))
 	}
 	return nil
 }
 
-// resolved replaces every choice by its baseline if --naive is set.
-func (c choices) resolved() choices {
-	if !c.Naive {
-		return c
-	}
-	last := func(names []string) string { return names[len(names)-1] }
-	return choices{
-		Naive: true, Picker: last(pick.Names()), Queue: last(queue.Names()), Retry: last(retry.Names()),
-		Share: last(share.Names()), Placer: last(place.Names()), TaskOrder: last(order.Names()),
+// resolved replaces every decision by its baseline if --naive is set.
+func (s settings) resolved() settings {
+	if s.Naive {
+		s.Decisions = daemon.NaiveDecisions()
 	}
-}
-
-// apply sets the choices in a daemon's settings.
-func (c choices) apply(s daemon.Settings) daemon.Settings {
-	s.Picker, s.Queue, s.Retry, s.Share, s.Placer, s.TaskOrder = c.Picker, c.Queue, c.Retry, c.Share, c.Placer, c.TaskOrder
 	return s
 }
 
--- a/load/site.go
+++ b/load/site.go
@@ -59,7 +59,7 @@
 
 func (x *site) startDaemon(i int, name string) error {
 	cfg := daemon.Defaults(name, profiles[0].domains[i])
-	cfg = x.settings.choices.apply(cfg)
+	cfg.Decisions = x.settings.Decisions
 	cfg.DataDir = filepath.Join(x.dir, name)
 	cfg.Bootstrap = i == 0
 	cfg.DrainDelay = daemon.Duration(2 * probeEvery)
