--- /dev/null
+++ b/consensus/dump.go
@@ -0,0 +1,52 @@
+package consensus
+
+// State is what a replica shows of itself.
+type State struct {
+	Part      string     `json:"part"`
+	Replica   string     `json:"replica"`
+	Storage   uint64     `json:"storage"`
+	Role      string     `json:"role"`
+	Term      uint64     `json:"term"`
+	Vote      string     `json:"vote,omitempty"`
+	Leader    string     `json:"leader,omitempty"`
+	LogBase   uint64     `json:"log-base"`
+	LastIndex uint64     `json:"last-index"`
+	Persisted uint64     `json:"persisted"`
+	Commit    uint64     `json:"commit"`
+	Snapshot  uint64     `json:"snapshot"`
+	Voters    []string   `json:"voters"`
+	Learners  []string   `json:"learners,omitempty"`
+	Wanted    []string   `json:"wanted,omitempty"`
+	Failed    bool       `json:"failed,omitempty"`
+	Followers []Follower `json:"followers,omitempty"`
+}
+
+// Follower is what a leader knows of another replica.
+type Follower struct {
+	Name  string `json:"name"`
+	Voter bool   `json:"voter"`
+	Match uint64 `json:"match"`
+	Next  uint64 `json:"next"`
+}
+
+// Dump implements [notch.Dumper].
+func (p Part) Dump() any {
+	s := State{
+		Part: "consensus", Replica: p.self.Name, Storage: p.self.Storage, Role: p.role.String(), Term: p.hard.Term,
+		Vote: p.hard.Vote, Leader: p.leader, LogBase: p.log.base, LastIndex: p.log.lastIndex(), Persisted: p.persisted,
+		Commit: p.commit, Wanted: p.desired, Failed: p.failed,
+	}
+	if p.snapshot != nil {
+		s.Snapshot = p.snapshot.Index
+	}
+	for _, v := range p.set().Voters {
+		s.Voters = append(s.Voters, v.Name)
+	}
+	for _, l := range p.set().Learners {
+		s.Learners = append(s.Learners, l.Name)
+	}
+	for _, pr := range p.progress {
+		s.Followers = append(s.Followers, Follower{Name: pr.replica.Name, Voter: pr.voter, Match: pr.match, Next: pr.next})
+	}
+	return s
+}
--- a/ctl/script_test.go
+++ b/ctl/script_test.go
@@ -100,6 +100,9 @@
 			w.Write(make([]byte, 70_000))
 			panic(http.ErrAbortHandler)
 		}
+		if odd(w, r) {
+			return
+		}
 		fmt.Fprintf(w, "%s %s %s %s\n", args[1], r.Method, r.URL.Path, b)
 	}))
 	ctx := untilSignal()
@@ -114,6 +117,32 @@
 	return 0
 }
 
+// odd answers in the way that the query asks for, or returns false.
+func odd(w http.ResponseWriter, r *http.Request) bool {
+	q := r.URL.Query()
+	if q.Has("refuse") {
+		w.Header().Set(api.NotRunHeader, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	text := map[string]string{
+		"reset": "", "garbage": "\x00\x01 what?\r\n\r\n", "short": "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nxxxx",
+	}
+	for name, answer := range text {
+		if !q.Has(name) {
+			continue
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return false
+		}
+		io.WriteString(conn, answer)
+		conn.Close()
+		return true
+	}
+	return false
+}
+
 // worker ENTRY NAME POOL: ends every task at the next heartbeat.
 func worker(args []string) int {
 	ctx := untilSignal()
--- /dev/null
+++ b/gateway/dump.go
@@ -0,0 +1,14 @@
+package gateway
+
+// State is what the part shows of itself.
+type State struct {
+	Part    string `json:"part"`
+	Leader  string `json:"leader,omitempty"`
+	Leading bool   `json:"leading"`
+	Waiting int    `json:"calls-waiting"`
+}
+
+// Dump implements [notch.Dumper].
+func (p Part) Dump() any {
+	return State{Part: "gateway", Leader: p.leader, Leading: p.leading, Waiting: p.calls.Len()}
+}
