Shed earlier at a crest; divide unused slots evenly

Change: admission up to 0.2 of the deadline; when demands fit, each gets its own and the rest is split evenly.

--- a/experiment/traffic.go
+++ b/experiment/traffic.go
@@ -78,6 +78,8 @@
 		base("pick two of all", func(p *policy) { p.traffic.Picker = picker("two") }),
 		base("pick random", func(p *policy) { p.traffic.Picker = picker("random") }),
 		base("queue fifo", func(p *policy) { p.traffic.Order = queue.FIFO{} }),
+		base("admit to the deadline", func(p *policy) { p.traffic.Admitter = queue.ByDeadline{Share: 1} }),
+		base("admit to 0.1 of it", func(p *policy) { p.traffic.Admitter = queue.ByDeadline{Share: 0.1} }),
 		base("admit bounded", func(p *policy) { p.traffic.Admitter = queue.Bounded{} }),
 		base("share equal", func(p *policy) { p.divider = share.Equal{} }),
 		base("no hedges", func(p *policy) { p.traffic.Retrier, _ = retry.New("no-hedge") }),
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -44,11 +44,16 @@
 	return true, ""
 }
 
-// ByDeadline admits what can be served within its deadline at the present rate.
-type ByDeadline struct{}
+// ByDeadline admits what can be served at the present rate within a share of its
+// deadline. The rest of the deadline is for the request itself and for errors of
+// the estimate; a longer queue would make all wait without serving more.
+type ByDeadline struct{ Share float64 }
+
+// DefaultByDeadline keeps the slots busy through a dip of the demand.
+var DefaultByDeadline = ByDeadline{Share: 0.2}
 
 // Admit implements [notch.Admitter].
-func (ByDeadline) Admit(q notch.QueueLoad) (bool, notch.RefusalReason) {
+func (a ByDeadline) Admit(q notch.QueueLoad) (bool, notch.RefusalReason) {
 	if q.Length >= q.Limit {
 		return false, notch.RefusedQueueFull
 	}
@@ -56,7 +61,7 @@
 		return true, "" // a grant may be under way
 	}
 	wait := time.Duration(q.Ahead+1) * q.Service / time.Duration(q.Slots)
-	if wait+q.Service > q.Deadline {
+	if wait > time.Duration(a.Share*float64(q.Deadline)) || wait+q.Service > q.Deadline {
 		return false, notch.RefusedShed
 	}
 	return true, ""
--- a/share/divide.go
+++ b/share/divide.go
@@ -66,17 +66,19 @@
 	if n == 0 {
 		return quotas
 	}
-	even := total
-	if demand > 0 {
-		even = total / max(d.Floor, 1)
-	}
 	left := total
-	for j, e := range entries {
-		quotas[j] = even / n
-		if demand > 0 {
-			quotas[j] += (total - even) * e.Demand / demand
+	if demand <= total {
+		// What nobody asks for now is divided evenly: anybody may need it next.
+		for j, e := range entries {
+			quotas[j] = e.Demand + (total-demand)/n
+		}
+		left -= demand + (total-demand)/n*n
+	} else {
+		even := total / max(d.Floor, 1)
+		for j, e := range entries {
+			quotas[j] = even/n + (total-even)*e.Demand/demand
+			left -= quotas[j]
 		}
-		left -= quotas[j]
 	}
 	// Rounding leaves a few slots; they go round the entries.
 	for j := 0; left > 0; j = (j + 1) % n {
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -27,7 +27,7 @@
 // DefaultPolicy is the one that measured best; see docs/DESIGN.md.
 func DefaultPolicy() Policy {
 	p, _ := pick.New(pick.Names()[0])
-	return Policy{Picker: p, Order: queue.DefaultShortFirst, Admitter: queue.ByDeadline{}, Retrier: retry.Default, Eject: true}
+	return Policy{Picker: p, Order: queue.DefaultShortFirst, Admitter: queue.DefaultByDeadline, Retrier: retry.Default, Eject: true}
 }
 
 // NaivePolicy is the baseline of every decision.
