--- a/experiment/capacity.go
+++ b/experiment/capacity.go
@@ -1,5 +1,7 @@
 package experiment
 
+import notch "tamaracknotch"
+
 // The size to design for.
 const (
 	sizeWorkers  = 3900
@@ -29,29 +31,35 @@
 
 // measured is every slope that the page needs.
 type measured struct {
-	beat      slope // CPU of a heartbeat at the leader, by workers
-	beatBytes slope // of a heartbeat and its answer between daemons, by running tasks of a worker
-	plan      slope // CPU of a placement, by workers
-	report    slope // CPU of a committed report, by running tasks
-	entry     slope // CPU of a quiet entry's report at the leader, by backend servers
-	moving    slope // the same while demands change
-	entryIn   slope // bytes of a report and its grant, by backend servers
-	announce  slope // bytes of an announcement message, by backend servers
-	spread    slope // CPU of an announcement message, by backend servers
-	edit      slope // bytes of a table with so many rows
-	apply     slope // CPU of a committed edit, by rows
-	placed    slope // bytes of a committed placement in the log, by placements
-	propose   slope // CPU of a proposal at the leader, by proposals in a batch
-	request   slope // CPU of a request in a lane, by backend servers
-	taskHeap  slope // memory by tasks
-	hostHeap  slope // memory by workers
-	laneHeap  slope // memory of a lane by backend servers
+	beat      slope   // CPU of a heartbeat at the leader, by workers
+	beatBytes slope   // of a heartbeat and its answer between daemons, by running tasks of a worker
+	plan      slope   // CPU of a placement, by workers
+	report    slope   // CPU of a committed report, by running tasks
+	entry     slope   // CPU of a quiet entry's report at the leader, by backend servers
+	moving    slope   // the same while demands change
+	entryIn   slope   // bytes of a report and its grant, by backend servers
+	announce  slope   // bytes of an announcement message, by backend servers
+	spread    slope   // CPU of an announcement message, by backend servers
+	edit      slope   // bytes of a table with so many rows
+	apply     slope   // CPU of a committed edit, by rows
+	placed    slope   // bytes of a committed placement in the log, by placements
+	propose   slope   // CPU of a proposal at the leader, by proposals in a batch
+	request   slope   // CPU of a request in a lane, by backend servers
+	taskHeap  slope   // memory by tasks
+	hostHeap  slope   // memory by workers
+	laneHeap  slope   // memory of a lane by backend servers
+	reported  slope   // bytes of a committed report in the log, by reports
+	ping      float64 // bytes of a heartbeat between replicas and its answer
+	pingCost  float64 // CPU of taking a heartbeat, in microseconds
+	register  float64 // bytes of a registration in the log
+	idle      float64 // memory of this process before it measured, in MB
+	restart   restart
 	commits   []journalPoint
 }
 
 func (m measured) slopes() []slope {
 	return []slope{m.beat, m.beatBytes, m.plan, m.report, m.entry, m.moving, m.entryIn, m.announce, m.spread, m.edit, m.apply,
-		m.placed, m.propose, m.request, m.taskHeap, m.hostHeap, m.laneHeap}
+		m.placed, m.reported, m.propose, m.request, m.taskHeap, m.hostHeap, m.laneHeap}
 }
 
 func measure(full bool) measured {
@@ -74,6 +82,12 @@
 		spread:    fit("renewals taken, by backend servers", "us", servers, announceCost),
 		edit:      fit("table sent to an entry, by rows", "bytes", rows, editBytes),
 		apply:     fit("committed edit, by rows", "us", rows, editCost),
+		idle:      processMB(),
+		reported:  fit("reports in a log message", "bytes", batches, reportedBytes),
+		ping:      pingBytes(),
+		pingCost:  pingCost(),
+		register:  bytesOf(notch.Forward{Command: notch.RegisterWorker{Worker: workerNamed(1)}}),
+		restart:   measureRestart(full),
 		placed:    fit("placements in a log message", "bytes", batches, placedBytes),
 		propose:   fit("proposals in a batch at the leader", "us", batches, proposeCost),
 		request:   fit("request in a lane, by backend servers", "us", servers, requestCost),
--- a/experiment/costs.go
+++ b/experiment/costs.go
@@ -318,6 +318,28 @@
 	return bytesOf(notch.AppendRequest{Term: 2, Leader: "a", Entries: []notch.Entry{{Index: 1, Term: 2, Command: c}}})
 }
 
+func reportedBytes(n int) float64 {
+	c := notch.ReportTasks{Worker: workerNamed(1).Name, Incarnation: 1}
+	for i := range n {
+		c.Reports = append(c.Reports, notch.TaskReport{Task: notch.NewTaskID(fmt.Sprintf("job-%06d", i), i%50), Epoch: 1, Kind: notch.ReportFinished})
+	}
+	return bytesOf(notch.AppendRequest{Term: 2, Leader: "a", Entries: []notch.Entry{{Index: 1, Term: 2, Command: c}}})
+}
+
+// idlePing is a heartbeat of a leader that has nothing to send.
+var idlePing = notch.AppendRequest{Term: 2, Leader: "leader", PrevIndex: 2, PrevTerm: 1, Commit: 2, SentAt: notch.Time(time.Hour)}
+
+func pingBytes() float64 {
+	reply := notch.AppendReply{Term: 2, From: notch.Replica{Name: "follower", Storage: 1 << 60}, OK: true, Match: 2, SentAt: notch.Time(time.Hour)}
+	return bytesOf(idlePing) + bytesOf(reply)
+}
+
+func pingCost() float64 {
+	r := notch.Replica{Name: "a", Storage: 1}
+	d := &driver{state: notch.NewState(consensus.New(r)), now: notch.Time(time.Hour)}
+	return micros(200, func() { d.step(notch.MessageReceived{From: "leader", Message: idlePing}) })
+}
+
 // proposeCost is the cost of a batch of proposals at a lone leader, synced at once.
 func proposeCost(n int) float64 {
 	r := notch.Replica{Name: "a", Storage: 1}
--- a/experiment/roles.go
+++ b/experiment/roles.go
@@ -21,7 +21,8 @@
 	tableRows     = 500
 	routesEach    = sizeServers / 300 // pools
 	replicaBeats  = 10.0              // heartbeats a second to each follower
-	heartbeatSize = 150.0             // bytes
+	catchUpStarts = 300.0             // starts a second while regions lose each other
+	linkSpeed     = 10.0              // MB a second that a follower catches up with
 )
 
 func median(v []float64) float64 {
@@ -51,7 +52,7 @@
 
 	batchState := (m.taskHeap.each*sizeTasks + m.hostHeap.each*sizeWorkers) / 1e6
 	laneState := m.laneHeap.at(sizeServers) / 1e6
-	base := 20.0 // of an idle process of the default run, in MB
+	base := m.idle
 
 	announced := float64(sizeServers) * renewals
 	announceKB := announced * m.announce.each / 1000
@@ -61,7 +62,7 @@
 		percent(announced*m.spread.each+reportsASec*100), base+laneState)
 
 	add("leader: heartbeats of workers", 2*beats, 2*beats*perBeat/1000, percent(beats*m.beat.at(sizeWorkers)), base+batchState)
-	add("leader: starts and reports", 2*starts/100, float64(starts)*(m.placed.each+120)*float64(sizeReplicas-1)/1000,
+	add("leader: starts and reports", 2*starts/100, float64(starts)*(m.placed.each+m.reported.each)*float64(sizeReplicas-1)/1000,
 		percent(starts*(m.plan.at(sizeWorkers)+2*m.report.at(sizeTasks)+m.propose.each/10)), batchState)
 	add("leader: entries whose demands change", 2*reportsASec*sizeEntries, reportsASec*float64(sizeEntries)*m.entryIn.at(sizeServers)/1000,
 		percent(reportsASec*float64(sizeEntries)*m.moving.at(sizeServers)), laneState)
@@ -69,9 +70,10 @@
 		percent(reportsASec*float64(sizeEntries)*m.entry.at(sizeServers)), laneState)
 	add("leader: edits", edits*(sizeEntries+sizeReplicas), edits*float64(sizeEntries+sizeReplicas)*tableBytes/1000,
 		percent(edits*m.apply.at(tableRows)), 0.2)
-	add("follower: log at the peak", starts/50, float64(starts)*(m.placed.each+120)/1000,
+	add("follower: log at the peak", starts/50, float64(starts)*(m.placed.each+m.reported.each)/1000,
 		percent(starts*(2*m.report.at(sizeTasks)+m.propose.each/10)), base+batchState)
-	add("replica: idle", replicaBeats, replicaBeats*heartbeatSize/1000, percent(20*replicaBeats), base)
+	add("leader: idle followers", 2*replicaBeats*(sizeReplicas-1), replicaBeats*(sizeReplicas-1)*m.ping/1000, percent(replicaBeats*(sizeReplicas-1)*m.pingCost), base)
+	add("follower: idle", 2*replicaBeats, replicaBeats*m.ping/1000, percent(replicaBeats*m.pingCost), base)
 	add("relay of a failure domain", announced/12, announceKB, percent(announced*m.spread.each), base)
 	for _, r := range t.Rows {
 		over := max(r.Values[4], r.Values[5], r.Values[6])
@@ -91,8 +93,10 @@
 	placing := lostTasks * (m.plan.at(sizeWorkers) + m.report.at(sizeTasks)) / 1e6
 	add("a failure domain goes: its tasks are released after 6.1 s and placed again", lostTasks/100, lostTasks*m.placed.each*float64(sizeReplicas-1)/1e6, 6.1+placing)
 	add("a failure domain goes: its backend servers are forgotten after 5 s", 0, 0, 5)
-	add("regions lose each other for an hour: log to catch up, on an edit day's mean and 300 starts/s", 3600*300/1000, 3600*300*(m.placed.each+120)/1e6, 3600*300*(m.placed.each+120)/1e6/10)
-	add("a replica restarts: snapshot", 1, (float64(sizeTasks)*250+float64(sizeWorkers)*200)/1e6, (float64(sizeTasks)*250+float64(sizeWorkers)*200)/1e6/10)
-	add("840 hosts restart in a day: registrations and releases", 2*sizeRestarts, 2*sizeRestarts*500/1e6, sizeRestarts*2*m.report.at(sizeTasks)/1e6)
+	missed := 3600 * catchUpStarts * (m.placed.each + m.reported.each) / 1e6
+	add("regions lose each other for an hour: log to catch up at 300 starts/s and 10 MB/s", 3600*catchUpStarts/1000, missed, missed/linkSpeed)
+	add("a replica restarts: snapshot at full size, read and restored", 1, m.restart.snapshotMB, m.restart.snapshotSeconds)
+	add("a replica restarts: 100,000 entries of the log", 0, m.restart.logMB, m.restart.logSeconds)
+	add("840 hosts restart in a day: registrations and releases", 2*sizeRestarts, 2*sizeRestarts*m.register/1e6, sizeRestarts*2*m.report.at(sizeTasks)/1e6)
 	return t
 }
--- a/experiment/slope.go
+++ b/experiment/slope.go
@@ -69,6 +69,13 @@
 	return float64(len(b))
 }
 
+// processMB is the memory that the process has taken from the system.
+func processMB() float64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.Sys) / 1e6
+}
+
 // heapOf is the heap that the value returned by build holds, in bytes.
 func heapOf(build func() any) float64 {
 	var before, after runtime.MemStats
