--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -33,16 +33,15 @@
 
 // Limits bound messages and the log.
 type Limits struct {
-	Batch     int // entries in one message
-	Pipeline  int // entries sent beyond the last acknowledged one
-	Snapshot  int // entries after which a snapshot is taken
-	KeepBack  int // entries kept before the snapshot, for replicas that lag a little
-	CatchUp   int // entries that a learner may lack when it becomes a voter
-	HandOvers int // replicas told to campaign at a graceful stop
+	Batch    int // entries in one message
+	Pipeline int // entries sent beyond the last acknowledged one
+	Snapshot int // entries after which a snapshot is taken
+	KeepBack int // entries kept before the snapshot, for replicas that lag a little
+	CatchUp  int // entries that a learner may lack when it becomes a voter
 }
 
 // DefaultLimits is meant for entries of a few hundred bytes to some kilobytes.
-var DefaultLimits = Limits{Batch: 1024, Pipeline: 8192, Snapshot: 20000, KeepBack: 2000, CatchUp: 64, HandOvers: 1}
+var DefaultLimits = Limits{Batch: 1024, Pipeline: 8192, Snapshot: 20000, KeepBack: 2000, CatchUp: 64}
 
 type role uint8
 
--- a/experiment/batch.go
+++ b/experiment/batch.go
@@ -271,7 +271,7 @@
 		if s.Now()-began >= length {
 			return
 		}
-		x.submit(n, h, x.draw(h, jobs))
+		x.submit(n, x.draw(h, jobs))
 		jobs++
 		s.After(time.Duration(x.rand.ExpFloat64()/rate*float64(time.Second)), next)
 	}
@@ -304,7 +304,7 @@
 	return j
 }
 
-func (x *batchSeen) submit(n *drive.Node, _ hosts, j notch.Job) {
+func (x *batchSeen) submit(n *drive.Node, j notch.Job) {
 	for i := range j.Tasks {
 		x.born[notch.NewTaskID(j.ID, i)] = x.site.Now()
 	}
@@ -324,7 +324,7 @@
 			Size: notch.Resources{MilliCPU: 4000, MemoryMB: 4000}, Expected: 2 * time.Second, Command: "alarm",
 		}
 		x.jobs[j.ID] = taskKind{name: "alarm", work: 2 * time.Second, milli: 4000}
-		x.submit(n, h, j)
+		x.submit(n, j)
 		i++
 		x.site.After(urgentGap, next)
 	}
--- a/experiment/traffic.go
+++ b/experiment/traffic.go
@@ -104,7 +104,6 @@
 	name   string
 	length time.Duration
 	demand func(t time.Duration) float64
-	skew   bool // callers prefer the entries of the first failure domain
 }
 
 func scenarios() []scenario {
@@ -112,9 +111,9 @@
 		return func(time.Duration) float64 { return share }
 	}
 	return []scenario{
-		{"0.8 of capacity", 20 * time.Second, steady(0.8), false},
-		{"0.5 of capacity", 16 * time.Second, steady(0.5), false},
-		{"swing 0.3 to 1.5", 24 * time.Second, swing, false},
+		{"0.8 of capacity", 20 * time.Second, steady(0.8)},
+		{"0.5 of capacity", 16 * time.Second, steady(0.5)},
+		{"swing 0.3 to 1.5", 24 * time.Second, swing},
 	}
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -107,11 +107,10 @@
 	case notch.Hello:
 		return p.peerUp(now, m)
 	case notch.Announcements:
-		next, out := p.announcements(now, m)
-		next, more := next.renewals(now, b.From, m)
-		return next, append(out, more...)
+		next, out := p.announcements(now, m).renewals(now, b.From, m)
+		return next, append(out, p.relay(b.From, m)...)
 	case notch.Resend:
-		return p.resend(now, b.From, m), nil
+		return p.resend(m), nil
 	}
 	return p, nil
 }
@@ -177,6 +176,10 @@
 	if ok && old.server.Incarnation > b.Incarnation {
 		return p
 	}
+	if ok && old.server.Incarnation == b.Incarnation {
+		// Whoever leaves comes back as a new incarnation only.
+		b.Leaving = b.Leaving || old.server.Leaving
+	}
 	s := server{server: b, until: now.Add(p.timing.TTL), told: old.told}
 	if !ok || old.server != b {
 		p.changed = true
@@ -188,12 +191,8 @@
 	return p
 }
 
-func (p Part) announcements(now notch.Time, m notch.Announcements) (Part, []notch.Effect) {
-	var pass []notch.Announcement
+func (p Part) announcements(now notch.Time, m notch.Announcements) Part {
 	for _, a := range m.Servers {
-		if a.Hops > 0 {
-			pass = append(pass, notch.Announcement{Server: a.Server, TTL: a.TTL, Hops: a.Hops - 1})
-		}
 		old, ok := p.servers.Get(a.Server.Name)
 		if ok && old.server.Incarnation > a.Server.Incarnation {
 			continue
@@ -209,16 +208,23 @@
 		}
 		p.servers = p.servers.Set(a.Server.Name, server{server: a.Server, until: until, told: old.told})
 	}
-	if len(pass) == 0 {
-		return p, nil
+	return p
+}
+
+// relay passes a message on within the own failure domain, if its sender asks for
+// that.
+func (p Part) relay(from string, m notch.Announcements) []notch.Effect {
+	if m.Hops == 0 {
+		return nil
 	}
+	m.Hops--
 	var out []notch.Effect
 	for _, d := range p.upPeers() {
-		if d.Domain == p.self.Domain {
-			out = append(out, notch.Send{To: d.Name, Message: notch.Announcements{Servers: pass}})
+		if d.Domain == p.self.Domain && d.Name != from {
+			out = append(out, notch.Send{To: d.Name, Message: m})
 		}
 	}
-	return p, out
+	return out
 }
 
 // renewals prolongs what is known by its identity and asks for the rest.
@@ -234,23 +240,14 @@
 		s.until = max(s.until, now.Add(min(m.TTL, p.timing.TTL)))
 		p.servers = p.servers.Set(name, s)
 	}
-	var out []notch.Effect
-	if len(missing) > 0 {
-		out = append(out, notch.Send{To: from, Message: notch.Resend{Servers: missing}})
-	}
-	if m.Hops > 0 && len(m.Renewed) > 0 {
-		passed := notch.Announcements{Renewed: m.Renewed, TTL: m.TTL}
-		for _, d := range p.upPeers() {
-			if d.Domain == p.self.Domain && d.Name != from {
-				out = append(out, notch.Send{To: d.Name, Message: passed})
-			}
-		}
+	if len(missing) == 0 {
+		return p, nil
 	}
-	return p, out
+	return p, []notch.Effect{notch.Send{To: from, Message: notch.Resend{Servers: missing}}}
 }
 
 // resend passes on in full what a peer lacks.
-func (p Part) resend(_ notch.Time, _ string, m notch.Resend) Part {
+func (p Part) resend(m notch.Resend) Part {
 	for _, id := range m.Servers {
 		name, _, _ := strings.Cut(string(id), "#")
 		if s, ok := p.servers.Get(name); ok && s.server.ID() == id {
@@ -347,10 +344,6 @@
 	up := p.upPeers()
 	relayed := m
 	relayed.Hops = 1
-	relayed.Servers = slices.Clone(m.Servers)
-	for i := range relayed.Servers {
-		relayed.Servers[i].Hops = 1
-	}
 	var out []notch.Effect
 	var domains []string
 	for _, d := range up {
--- a/message.go
+++ b/message.go
@@ -97,7 +97,7 @@
 	Servers []Announcement
 	Renewed []ServerID
 	TTL     time.Duration // of what is renewed
-	Hops    int           // relays that what is renewed may still pass
+	Hops    int           // relays that the message may still pass
 }
 
 // Resend asks for announcements of which only the identity was told.
@@ -107,7 +107,6 @@
 type Announcement struct {
 	Server BackendServer
 	TTL    time.Duration
-	Hops   int // relays it may still pass
 }
 
 // Hold is a number of slots of one backend server.
--- a/policy.go
+++ b/policy.go
@@ -11,7 +11,6 @@
 	Tail     time.Duration // recent estimate of the 95th percentile
 	Samples  int           // behind Mean and Tail
 	Local    bool          // in the entry's failure domain
-	Age      time.Duration // since this incarnation was first seen
 }
 
 // Candidates is an indexed view of the backend servers of a pool.
--- a/traffic/pool.go
+++ b/traffic/pool.go
@@ -50,8 +50,6 @@
 	return p
 }
 
-func (p pool) withArrival(earned float64) pool { return p.withTokens(earned) }
-
 func (p pool) withWaiting(k queueKey) pool {
 	p.queue = p.queue.Set(k, struct{}{})
 	return p
--- a/traffic/server.go
+++ b/traffic/server.go
@@ -132,6 +132,6 @@
 	}
 	return notch.Candidate{
 		Server: s.id, InFlight: s.inFlight, Slots: s.slots, Mean: s.mean, Tail: s.tail,
-		Samples: s.samples, Local: s.server.Domain == c.domain, Age: c.now.Sub(s.since),
+		Samples: s.samples, Local: s.server.Domain == c.domain,
 	}, true
 }
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -162,7 +162,7 @@
 		return
 	}
 	q := request{Request: r, arrived: s.now}
-	s.pools = s.pools.with(i, s.pools[i].withArrival(s.policy.Retrier.Earn()))
+	s.pools = s.pools.with(i, s.pools[i].withTokens(s.policy.Retrier.Earn()))
 	if !s.leased() {
 		s.refuse(q, notch.RefusedNoLease, time.Second)
 		return
