Script single states event by event, with the effects compared

Nine faults were put in on a scratch copy. Not caught: votes sent before their sync, tables that revert, and a wiped replica that takes itself for a voter, behind which other checks stand. The first two have step scripts now.

--- a/script/script_test.go
+++ b/script/script_test.go
@@ -9,3 +9,7 @@
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{Dir: "testdata/script", Cmds: Commands(), Setup: Setup})
 }
+
+func TestStepScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/step", Cmds: StepCommands(), Setup: SetupStep})
+}
