--- a/api/agents.go
+++ b/api/agents.go
@@ -290,15 +290,16 @@
 	Entries  []Entry `json:"entries"`
 }
 
-// InForce reports whether every entry that may still send requests obeys the
-// revision, and how many don't yet.
-func (e Entries) InForce(revision uint64) (missing int) {
+// Lagging counts the entries that may still send requests and don't obey the
+// revision yet.
+func (e Entries) Lagging(revision uint64) int {
+	n := 0
 	for _, x := range e.Entries {
 		if x.Revision < revision && x.LeaseSeconds > 0 {
-			missing++
+			n++
 		}
 	}
-	return missing
+	return n
 }
 
 // WorkerStatus is what is known of a worker.
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -77,7 +77,7 @@
 	var out []teamPlan
 	add := func(team notch.Team) {
 		if q, ok := s.queues.Get(pool.Name + "/" + team.Name); ok && q.byBand.Len() > 0 {
-			out = append(out, teamPlan{team: team, queue: q, from: taskKey{band: -1}})
+			out = append(out, teamPlan{team: team, queue: q, from: taskKey{}})
 		}
 	}
 	for _, team := range pool.Teams {
@@ -113,14 +113,16 @@
 	return t.queue.used.Share(total) / float64(max(t.team.Weight, 1))
 }
 
-func (t *teamPlan) headClass() int {
+// headClass returns the class of the team's next task, or one below all if there is
+// none.
+func (t *teamPlan) headClass() notch.Class {
 	it := t.queue.byBand.Iterator()
 	it.Seek(t.from)
 	key, _, ok := it.Next()
 	if !ok {
-		return 1 << 30
+		return notch.BestEffort + 1
 	}
-	return key.band / 16
+	return key.class
 }
 
 // nextTask returns the team's next task after those passed over, at times its
@@ -152,7 +154,8 @@
 // tryPlace places a task, or passes it over.
 func (s *stepper) tryPlace(tp *teamPlan, t notch.Task, j notch.Job, views *views, placer notch.Placer) (notch.Placement, bool) {
 	place, _ := tp.queue.bySeq.Get(t.Seq)
-	pass := taskKey{place.band, t.Seq + 1}
+	pass := place.key
+	pass.seq++
 	if exceeds(tp.queue.used.Plus(j.Size), tp.team.Quota) {
 		tp.from = pass
 		return notch.Placement{}, false
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -11,22 +11,23 @@
 
 // taskKey orders the queued tasks of a team.
 type taskKey struct {
-	band int
-	seq  uint64
+	class notch.Class
+	band  int
+	seq   uint64
 }
 
 type taskKeys struct{}
 
 // Compare implements immutable.Comparer.
 func (taskKeys) Compare(a, b taskKey) int {
-	return cmp.Or(cmp.Compare(a.band, b.band), cmp.Compare(a.seq, b.seq))
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.band, b.band), cmp.Compare(a.seq, b.seq))
 }
 
-// queuedTask is a place in a queue. The band is kept because the estimate that it
+// queuedTask is a place in a queue. The key is kept because the estimate that it
 // rests on may change while the task waits.
 type queuedTask struct {
-	id   notch.TaskID
-	band int
+	id  notch.TaskID
+	key taskKey
 }
 
 // teamQueue is the queued work and the reservations of one team in one pool.
@@ -43,9 +44,9 @@
 	}
 }
 
-func (q teamQueue) withTask(band int, t notch.Task) teamQueue {
-	q.byBand = q.byBand.Set(taskKey{band, t.Seq}, t.ID)
-	q.bySeq = q.bySeq.Set(t.Seq, queuedTask{t.ID, band})
+func (q teamQueue) withTask(key taskKey, id notch.TaskID) teamQueue {
+	q.byBand = q.byBand.Set(key, id)
+	q.bySeq = q.bySeq.Set(key.seq, queuedTask{id, key})
 	return q
 }
 
@@ -54,7 +55,7 @@
 	if !ok {
 		return q
 	}
-	q.byBand = q.byBand.Delete(taskKey{place.band, t.Seq})
+	q.byBand = q.byBand.Delete(place.key)
 	q.bySeq = q.bySeq.Delete(t.Seq)
 	return q
 }
@@ -70,8 +71,8 @@
 }
 
 func (s *stepper) enqueue(j notch.Job, t notch.Task) {
-	band := s.policy.Order.Band(j.Class, s.expected(j))
-	s.queues = s.queues.Set(queueName(j), s.queueOf(j).withTask(band, t))
+	key := taskKey{class: j.Class, band: s.policy.Order.Band(s.expected(j)), seq: t.Seq}
+	s.queues = s.queues.Set(queueName(j), s.queueOf(j).withTask(key, t.ID))
 }
 
 func (s *stepper) dequeue(j notch.Job, t notch.Task) {
--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -234,7 +234,7 @@
 
 func (s *stepper) resetElection() {
 	span := uint64(s.timing.Election)
-	jitter := notch.Mix(s.seed^uint64(len(s.self.Name))^s.self.Storage) % span
+	jitter := notch.Mix(s.seed^s.self.Storage) % span
 	s.electionDue = s.now.Add(s.timing.Election + time.Duration(jitter))
 }
 
--- a/ctl/tables.go
+++ b/ctl/tables.go
@@ -220,7 +220,7 @@
 		e, err := c.tables.Entries(ctx)
 		missing := len(e.Entries)
 		if err == nil {
-			missing = e.InForce(revision)
+			missing = e.Lagging(revision)
 		}
 		if err == nil && missing == 0 {
 			fmt.Fprintf(c.err, "in force on all %d entries\n", len(e.Entries))
--- a/load/site.go
+++ b/load/site.go
@@ -126,7 +126,7 @@
 	}
 	for ctx.Err() == nil {
 		e, err := x.ctl.Entries(ctx)
-		if err == nil && len(e.Entries) == len(x.daemons) && e.InForce(e.Revision) == 0 {
+		if err == nil && len(e.Entries) == len(x.daemons) && e.Lagging(e.Revision) == 0 {
 			return nil
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/policy.go
+++ b/policy.go
@@ -126,9 +126,9 @@
 
 // TaskOrder decides which queued task of a team goes next.
 type TaskOrder interface {
-	// Band returns a rank from the class and the expected run time; the lowest
-	// goes first, equal ones in the order of submission.
-	Band(class Class, expected time.Duration) int
+	// Band ranks tasks of a class by their expected run time; the lowest goes
+	// first, equal ones in the order of submission.
+	Band(expected time.Duration) int
 }
 
 // Interference is what is known of the harm that kinds of tasks do to the
