--- a/daemon/main.go
+++ b/daemon/main.go
@@ -33,18 +33,13 @@
 		"Exit codes: 0 stopped; 1 could not start, or requests were cut at the stop; 2 a setting is wrong."
 }
 
-// The settings of the garbage collector: fewer collections while the heap is far
-// from the budget of a daemon's control work, 128 MB.
-const (
-	collectAt  = 400      // percent of growth
-	softMemory = 96 << 20 // bytes, from which on it collects as often as needed
-)
+// collectAt is the growth of the heap, in percent, at which the garbage collector
+// starts. A limit of memory is not set: near one, collections would eat the processor
+// just when there is the most traffic.
+const collectAt = 300
 
-// tuneCollector trades memory within the budget for shorter tails.
-func tuneCollector() {
-	debug.SetGCPercent(collectAt)
-	debug.SetMemoryLimit(softMemory)
-}
+// tuneCollector trades memory for shorter tails.
+func tuneCollector() { debug.SetGCPercent(collectAt) }
 
 // Main runs the program until a signal stops it and returns its exit code.
 func Main(argv []string, out, errOut io.Writer) int {
