--- a/script/control.go
+++ b/script/control.go
@@ -8,6 +8,7 @@
 
 	notch "tamaracknotch"
 	"tamaracknotch/api"
+	"tamaracknotch/drive"
 	"tamaracknotch/tablefile"
 )
 
@@ -53,6 +54,17 @@
 	}
 }
 
+func (r *run) slow(args []string) {
+	usual, more := r.Net.Delay, r.duration(args[1])
+	r.Net.Delay = func(from, to *drive.Node) time.Duration {
+		d := usual(from, to)
+		if from.Self.Domain != to.Self.Domain && (from.Self.Domain == args[0] || to.Self.Domain == args[0]) {
+			d += more
+		}
+		return d
+	}
+}
+
 func (r *run) leaders() []string {
 	var out []string
 	for _, n := range r.Nodes() {
