--- a/api/agents.go
+++ b/api/agents.go
@@ -284,9 +284,11 @@
 	LeaseSeconds float64 `json:"lease-seconds"`
 }
 
-// Entries lists the entries and the revision that all should have.
+// Entries lists the entries and the revision that all should have. It isn't complete
+// for a lease after a change of the leader: others may hold one from before.
 type Entries struct {
 	Revision uint64  `json:"revision"`
+	Complete bool    `json:"complete"`
 	Entries  []Entry `json:"entries"`
 }
 
--- a/ctl/tables.go
+++ b/ctl/tables.go
@@ -213,6 +213,9 @@
 // pollEvery is the time between two looks at the entries.
 const pollEvery = 200 * time.Millisecond
 
+// orOthers is added while the leader may not know all entries yet.
+var orOthers = map[bool]string{true: ", or others that the leader doesn't know yet"}
+
 func (c *command) wait(ctx context.Context, revision uint64) error {
 	deadline := time.Now().Add(c.Put.Timeout)
 	shown := -1
@@ -222,12 +225,12 @@
 		if err == nil {
 			missing = e.Lagging(revision)
 		}
-		if err == nil && missing == 0 {
+		if err == nil && missing == 0 && e.Complete {
 			fmt.Fprintf(c.err, "in force on all %d entries\n", len(e.Entries))
 			return nil
 		}
 		if missing != shown {
-			fmt.Fprintf(c.err, "waiting for %d of %d entries\n", missing, len(e.Entries))
+			fmt.Fprintf(c.err, "waiting for %d of %d entries%s\n", missing, len(e.Entries), orOthers[!e.Complete])
 			shown = missing
 		}
 		if time.Now().After(deadline) {
--- a/front/operators.go
+++ b/front/operators.go
@@ -147,7 +147,7 @@
 	if !ok {
 		return
 	}
-	doc := api.Entries{Revision: v.Revision, Entries: []api.Entry{}}
+	doc := api.Entries{Revision: v.Revision, Complete: v.Complete, Entries: []api.Entry{}}
 	for _, x := range v.Entries {
 		doc.Entries = append(doc.Entries, api.Entry{Name: x.Name, Revision: x.Revision, LeaseSeconds: x.Lease.Seconds()})
 	}
--- a/message.go
+++ b/message.go
@@ -225,6 +225,7 @@
 	Workers  []Worker
 	Entries  []EntryStatus
 	Revision uint64 // of the tables, for AskEntries
+	Complete bool   // for AskEntries: no entry that isn't listed can hold a lease
 }
 
 // EntryStatus is what the leader knows of one entry.
--- a/script/script.go
+++ b/script/script.go
@@ -129,6 +129,7 @@
 		"ratio":     {"A B OP X: compares the ratio of two counters", 4, (*run).ratio},
 		"clear":     {"sets the counts of requests to zero", 0, func(r *run, _ []string) { r.served, r.refused, r.notRun, r.unknown = 0, 0, 0, 0 }},
 		"zero":      {"sets the counters of the daemons to zero", 0, func(r *run, _ []string) { r.Counters = map[string]int64{} }},
+		"complete":  {"NODE yes|no: whether the leader knows all entries that may hold a lease", 2, (*run).complete},
 		"notice":    {"TEXT: some daemon logged it", 1, (*run).notice},
 		"snapshots": {"EVERY KEEP: entries between snapshots and kept before one, for daemons started from now on", 2, (*run).snapshots},
 		"edits":     {"NODE POOL N: so many edits of routes, one after another", 3, (*run).manyEdits},
--- a/share/leader.go
+++ b/share/leader.go
@@ -80,7 +80,7 @@
 }
 
 func (p Leader) view(now notch.Time) notch.View {
-	v := notch.View{Revision: p.tables.Revision}
+	v := notch.View{Revision: p.tables.Revision, Complete: p.knowsLeases(now)}
 	for _, key := range slices.Sorted(maps.Keys(p.entries)) {
 		e := p.entries[key]
 		v.Entries = append(v.Entries, notch.EntryStatus{Name: e.name, Revision: e.revision, Lease: e.until.Sub(now)})
@@ -88,6 +88,15 @@
 	return v
 }
 
+// knowsLeases reports whether every lease that a former leader granted has ended or
+// been renewed here.
+func (p Leader) knowsLeases(now notch.Time) bool {
+	if p.leading.Ready == 0 || len(p.entries) == 0 {
+		return false
+	}
+	return p.leading.Term <= firstTerm || !now.Before(p.leading.Ready.Add(withDrift(p.timing.Lease)))
+}
+
 func (p Leader) onGoodbye(from string) Leader {
 	p.entries = maps.Clone(p.entries)
 	maps.DeleteFunc(p.entries, func(_ string, e entry) bool { return e.name == from })
