--- a/client/client.go
+++ b/client/client.go
@@ -112,32 +112,38 @@
 
 // Table returns the present version of a table.
 func (c *Client) Table(ctx context.Context, name string) (t api.Table, err error) {
-	return t, c.call(ctx, http.MethodGet, "/v1/tables/"+url.PathEscape(name), nil, &t)
+	err = c.call(ctx, http.MethodGet, "/v1/tables/"+url.PathEscape(name), nil, &t)
+	return t, err
 }
 
 // Put sends an edit.
 func (c *Client) Put(ctx context.Context, name string, e api.Edit) (r api.Edited, err error) {
-	return r, c.call(ctx, http.MethodPut, "/v1/tables/"+url.PathEscape(name), e, &r)
+	err = c.call(ctx, http.MethodPut, "/v1/tables/"+url.PathEscape(name), e, &r)
+	return r, err
 }
 
 // Entries lists the entries.
 func (c *Client) Entries(ctx context.Context) (e api.Entries, err error) {
-	return e, c.call(ctx, http.MethodGet, "/v1/entries", nil, &e)
+	err = c.call(ctx, http.MethodGet, "/v1/entries", nil, &e)
+	return e, err
 }
 
 // Workers lists the workers.
 func (c *Client) Workers(ctx context.Context) (w []api.WorkerStatus, err error) {
-	return w, c.call(ctx, http.MethodGet, "/v1/workers", nil, &w)
+	err = c.call(ctx, http.MethodGet, "/v1/workers", nil, &w)
+	return w, err
 }
 
 // State returns a dump of the first daemon's state.
 func (c *Client) State(ctx context.Context) (raw json.RawMessage, err error) {
-	return raw, c.call(ctx, http.MethodGet, "/v1/state", nil, &raw)
+	err = c.call(ctx, http.MethodGet, "/v1/state", nil, &raw)
+	return raw, err
 }
 
 // Metrics returns the first daemon's metrics.
 func (c *Client) Metrics(ctx context.Context) (raw json.RawMessage, err error) {
-	return raw, c.call(ctx, http.MethodGet, "/v1/metrics", nil, &raw)
+	err = c.call(ctx, http.MethodGet, "/v1/metrics", nil, &raw)
+	return raw, err
 }
 
 // Announce sends a backend server's word.
@@ -147,7 +153,8 @@
 
 // Heartbeat sends a worker's heartbeat.
 func (c *Client) Heartbeat(ctx context.Context, worker string, h api.Heartbeat) (r api.HeartbeatReply, err error) {
-	return r, c.call(ctx, http.MethodPost, "/v1/workers/"+url.PathEscape(worker)+"/heartbeat", h, &r)
+	err = c.call(ctx, http.MethodPost, "/v1/workers/"+url.PathEscape(worker)+"/heartbeat", h, &r)
+	return r, err
 }
 
 // SubmitJob submits a job.
@@ -157,12 +164,14 @@
 
 // Jobs lists the jobs, without their tasks.
 func (c *Client) Jobs(ctx context.Context) (js []api.JobStatus, err error) {
-	return js, c.call(ctx, http.MethodGet, "/v1/jobs", nil, &js)
+	err = c.call(ctx, http.MethodGet, "/v1/jobs", nil, &js)
+	return js, err
 }
 
 // Job returns one job with its tasks.
 func (c *Client) Job(ctx context.Context, id string) (j api.JobStatus, err error) {
-	return j, c.call(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil, &j)
+	err = c.call(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil, &j)
+	return j, err
 }
 
 // Cancel cancels jobs.
--- /dev/null
+++ b/link/fuzz_test.go
@@ -0,0 +1,18 @@
+package link
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+func FuzzDecodeProof(f *testing.F) {
+	b, _ := cbor.Marshal(proof{Hello: []byte{1}, MAC: []byte{2}})
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, err := decodeProof(b)
+		if err == nil && len(p.MAC)+len(p.Hello) > len(b) {
+			t.Errorf("got %d bytes out of %d", len(p.MAC)+len(p.Hello), len(b))
+		}
+	})
+}
--- a/link/handshake.go
+++ b/link/handshake.go
@@ -75,9 +75,9 @@
 	if err != nil {
 		return none, errors.Wrap(err, "read proof")
 	}
-	var p proof
-	if err := cbor.Unmarshal(b, &p); err != nil {
-		return none, errors.Wrap(err, "decode proof")
+	p, err := decodeProof(b)
+	if err != nil {
+		return none, err
 	}
 	if !hmac.Equal(p.MAC, l.mac(other, dial, accept, p.Hello)) {
 		return none, errors.New("handshake: the other side has another key")
@@ -96,6 +96,11 @@
 	return hello, nil
 }
 
+func decodeProof(b []byte) (p proof, err error) {
+	err = cbor.Unmarshal(b, &p)
+	return p, errors.Wrap(err, "decode proof")
+}
+
 func (l *Link) mac(s side, dial, accept, hello []byte) []byte {
 	h := hmac.New(sha256.New, l.key)
 	h.Write([]byte(s))
