--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,7 +19,7 @@
 	"tamaracknotch/engine"
 	"tamaracknotch/entry"
 	"tamaracknotch/front"
-	"tamaracknotch/journal"
+	"tamaracknotch/wal"
 	"tamaracknotch/link"
 )
 
@@ -30,7 +30,7 @@
 	registry  metrics.Registry
 	engine    *engine.Engine
 	link      *link.Link
-	journal   *journal.Journal
+	journal   *wal.Journal
 	callers   *server
 	operators *server
 	links     *server
@@ -124,7 +124,7 @@
 		Name: d.settings.Name, Address: d.links.address(), Domain: d.settings.FailureDomain,
 		Incarnation: uint64(time.Now().UnixNano()), Replica: d.settings.DataDir != "",
 	}
-	var id journal.Identity
+	var id wal.Identity
 	var recovered *notch.Recovered
 	if self.Replica {
 		var err error
@@ -149,9 +149,9 @@
 }
 
 // openData reads the data folder, after beginning a cluster if that is asked for.
-func (d *Daemon) openData(self notch.Daemon) (journal.Identity, *notch.Recovered, error) {
-	j := journal.New(journal.Folder(d.settings.DataDir))
-	fresh := journal.Identity{Storage: rand.Uint64() | 1}
+func (d *Daemon) openData(self notch.Daemon) (wal.Identity, *notch.Recovered, error) {
+	j := wal.New(wal.Folder(d.settings.DataDir))
+	fresh := wal.Identity{Storage: rand.Uint64() | 1}
 	if d.settings.Bootstrap {
 		fresh.Cluster = rand.Uint64() | 1
 	}
@@ -183,7 +183,7 @@
 
 // recoverAlone appends a replica set of this replica alone to what the journal
 // held. What the lost majority accepted and this replica never got is lost.
-func recoverAlone(j *journal.Journal, r notch.Recovered, self notch.Replica) (notch.Recovered, error) {
+func recoverAlone(j *wal.Journal, r notch.Recovered, self notch.Replica) (notch.Recovered, error) {
 	last, term := uint64(0), uint64(0)
 	if r.Snapshot != nil {
 		last, term = r.Snapshot.Index, r.Snapshot.Term
--- a/decisions_test.go
+++ b/decisions_test.go
@@ -19,7 +19,7 @@
 	outside = []string{
 		"net", "net/http", "os", "encoding/json", "github.com/fxamacker/cbor/v2", "github.com/coder/websocket",
 		"github.com/gin-gonic/gin", "tamaracknotch/wire", "tamaracknotch/link", "tamaracknotch/api",
-		"tamaracknotch/front", "tamaracknotch/entry", "tamaracknotch/engine", "tamaracknotch/journal",
+		"tamaracknotch/front", "tamaracknotch/entry", "tamaracknotch/engine", "tamaracknotch/wal",
 	}
 	impure = []string{"time.Now(", "time.Sleep(", "time.After(", "rand.Int", "go func"}
 )
--- a/experiment/costs.go
+++ b/experiment/costs.go
@@ -7,7 +7,7 @@
 
 	notch "tamaracknotch"
 	"tamaracknotch/batch"
-	"tamaracknotch/journal"
+	"tamaracknotch/wal"
 	"tamaracknotch/traffic"
 )
 
@@ -213,8 +213,8 @@
 		if err != nil {
 			return out
 		}
-		j := journal.New(journal.Folder(dir))
-		if _, _, err := j.Identity(journal.Identity{Storage: 1}); err != nil {
+		j := wal.New(wal.Folder(dir))
+		if _, _, err := j.Identity(wal.Identity{Storage: 1}); err != nil {
 			return out
 		}
 		if _, err := j.Load(); err != nil {
--- a/experiment/restart.go
+++ b/experiment/restart.go
@@ -7,7 +7,7 @@
 
 	notch "tamaracknotch"
 	"tamaracknotch/batch"
-	"tamaracknotch/journal"
+	"tamaracknotch/wal"
 	"tamaracknotch/wire"
 )
 
@@ -32,7 +32,7 @@
 }
 
 // withJournal calls f with a journal in a temporary folder.
-func withJournal(f func(dir string, j *journal.Journal)) {
+func withJournal(f func(dir string, j *wal.Journal)) {
 	dir, err := os.MkdirTemp("", "notch-restart-")
 	if err != nil {
 		return
@@ -41,16 +41,16 @@
 	f(dir, openJournal(dir))
 }
 
-func openJournal(dir string) *journal.Journal {
-	j := journal.New(journal.Folder(dir))
-	if _, _, err := j.Identity(journal.Identity{Storage: 1}); err != nil {
+func openJournal(dir string) *wal.Journal {
+	j := wal.New(wal.Folder(dir))
+	if _, _, err := j.Identity(wal.Identity{Storage: 1}); err != nil {
 		panic(err) // The folder is this process's own.
 	}
 	return j
 }
 
 func restartFromLog(n int) (mb, seconds float64) {
-	withJournal(func(dir string, j *journal.Journal) {
+	withJournal(func(dir string, j *wal.Journal) {
 		j.Load()
 		const batchSize = 1000
 		for i := 0; i < n; i += batchSize {
@@ -84,7 +84,7 @@
 			snap = notch.Snapshot{Index: 1, Term: 1, Images: []notch.Image{r.Image()}}
 		}
 	}
-	withJournal(func(dir string, j *journal.Journal) {
+	withJournal(func(dir string, j *wal.Journal) {
 		j.Load()
 		j.SaveSnapshot(notch.SaveSnapshot{Snapshot: snap, Replace: true})
 		j.Close()
--- a/journal/frame.go
+++ b/wal/frame.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"bytes"
--- a/journal/journal.go
+++ b/wal/wal.go
@@ -1,10 +1,10 @@
-// Package journal keeps a replica's log and snapshots in files below one data
+// Package wal keeps a replica's log and snapshots in files below one data
 // folder. A write counts once it is synced; nothing is acknowledged before.
 //
 // The folder holds "identity", one "snapshot-INDEX" and log segments "log-SEQ".
 // A segment is a run of frames, each of them one sync. A snapshot starts a new
 // segment, so that older ones can be removed once no entry in them is needed.
-package journal
+package wal
 
 import (
 	"fmt"
