--- a/cmd/notchd/main.go
+++ b/cmd/notchd/main.go
@@ -6,6 +6,10 @@
 	"os"
 
 	"tamaracknotch/daemon"
+	"tamaracknotch/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	faces := daemon.Faces{platform.Name: platform.New}
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, faces))
+}
--- a/command.go
+++ b/command.go
@@ -101,6 +101,48 @@
 	On     bool
 }
 
+// ReplaceTables sets both tables from one document whose own version decides: a
+// version that isn't above the one in force changes nothing.
+type ReplaceTables struct {
+	Version  uint64
+	Routes   []Route
+	Pools    []Pool // the pool ControlPool is kept as it is
+	Limits   CallerLimits
+	Document string // what the operator sent, to be given back unread
+}
+
+// SubmitFlow adds a job made of stages.
+type SubmitFlow struct{ Flow Flow }
+
+// CancelFlow cancels a job made of stages.
+type CancelFlow struct{ ID string }
+
+// AdmitAgent adds an agent, or replaces what is known of it. Runs of an earlier
+// life end with it.
+type AdmitAgent struct{ Agent Agent }
+
+// RunPlacement places the next run of a task.
+type RunPlacement struct {
+	Task  TaskRef
+	After uint64 // number of the task's latest run when this was planned
+	Life  Life
+}
+
+// PlaceRuns commits placements. One that no longer fits is skipped. Token is that
+// of the leader that sends the starts.
+type PlaceRuns struct {
+	Token      uint64
+	Placements []RunPlacement
+}
+
+// EndRuns records ends of runs in one life of an agent. Ends up to position UpTo of
+// the agent's list may be forgotten there once this is committed.
+type EndRuns struct {
+	Life Life
+	Ends []RunEnd
+	UpTo uint64
+}
+
 func (Noop) command()             {}
 func (Barrier) command()          {}
 func (EditTable) command()        {}
@@ -115,6 +157,12 @@
 func (ReleaseWorker) command()    {}
 func (StopTasks) command()        {}
 func (QuarantineWorker) command() {}
+func (ReplaceTables) command()    {}
+func (SubmitFlow) command()       {}
+func (CancelFlow) command()       {}
+func (AdmitAgent) command()       {}
+func (PlaceRuns) command()        {}
+func (EndRuns) command()          {}
 
 // Entry is one position of the replicated log.
 type Entry struct {
@@ -167,7 +215,26 @@
 	Entry   string // daemon that holds the claim
 }
 
+// FlowOutcome says what became of a command on a job made of stages.
+type FlowOutcome string
+
+// The outcomes.
+const (
+	FlowAccepted FlowOutcome = "accepted"
+	FlowNoRoute  FlowOutcome = "no route" // there is no such queue
+	FlowUnknown  FlowOutcome = "unknown"  // there is no such job
+	FlowInvalid  FlowOutcome = "invalid"
+)
+
+// FlowResult answers commands on jobs made of stages.
+type FlowResult struct {
+	ID      string
+	Outcome FlowOutcome
+	Reason  string
+}
+
 func (Done) result()         {}
+func (FlowResult) result()   {}
 func (EditResult) result()   {}
 func (TablesResult) result() {}
 func (JobResult) result()    {}
--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -10,6 +10,7 @@
 package consensus
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -67,6 +68,7 @@
 	self   notch.Replica
 	timing Timing
 	limits Limits
+	size   int // voters to have; 0: the pool control lists them
 
 	hard      notch.HardState
 	log       log
@@ -108,6 +110,10 @@
 // WithLimits replaces DefaultLimits.
 func WithLimits(l Limits) Option { return func(p *Part) { p.limits = l } }
 
+// WithSize lets the leader choose the voters among the daemons with a data folder, so
+// that there are n of them; the pool control isn't asked.
+func WithSize(n int) Option { return func(p *Part) { p.size = n } }
+
 // New returns a replica without a log. It is a learner until a log tells it
 // otherwise.
 func New(self notch.Replica, opts ...Option) Part {
@@ -186,6 +192,8 @@
 		s.wanted(b.Tables)
 	case notch.ReplicaSeen:
 		s.sawReplica(b.Replica)
+	case notch.PeerDown:
+		s.seen = slices.DeleteFunc(slices.Clone(s.seen), func(r notch.Replica) bool { return s.size > 0 && r.Name == b.Name })
 	case notch.ShutdownStarted:
 		s.stopping = true
 		s.handOverLead()
--- a/consensus/replicas.go
+++ b/consensus/replicas.go
@@ -56,13 +56,17 @@
 // reconcile takes the next step from the replica set in force towards the one
 // that the pool control lists. It waits until the previous step is committed.
 func (s *stepper) reconcile() {
-	if s.role != roleLeader || s.ready == 0 || s.stopping || len(s.configs) == 0 || len(s.desired) == 0 {
+	if s.role != roleLeader || s.ready == 0 || s.stopping || len(s.configs) == 0 || (len(s.desired) == 0 && s.size == 0) {
 		return
 	}
 	if s.configs[len(s.configs)-1].index > s.commit {
 		return
 	}
-	next, ok := s.nextSet()
+	step := s.nextSet
+	if s.size > 0 {
+		step = s.nextFormed
+	}
+	next, ok := step()
 	if !ok {
 		return
 	}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -45,7 +45,7 @@
 }
 
 func (s *stepper) propose(b notch.Proposal) {
-	if s.role == roleLeader && !s.stopping {
+	if s.role == roleLeader && !s.stopping && s.formed() {
 		s.appendCommand(b)
 	}
 }
--- a/ctl/script_test.go
+++ b/ctl/script_test.go
@@ -23,7 +23,7 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"notchctl": func() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) },
-		"notchd":   func() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"notchd":   func() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, nil)) },
 		"backend":  func() { os.Exit(backend(os.Args[1:])) },
 		"worker":   func() { os.Exit(worker(os.Args[1:])) },
 		"call":     func() { os.Exit(call(os.Args[1:])) },
--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -25,7 +25,7 @@
 	s.DataDir, s.Bootstrap, s.Lanes = b.TempDir(), true, 4
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d, err := New(s, log, metrics.NewRegistry())
+	d, err := New(s, log, metrics.NewRegistry(), nil)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,10 +17,9 @@
 	notch "tamaracknotch"
 	"tamaracknotch/consensus"
 	"tamaracknotch/engine"
-	"tamaracknotch/entry"
 	"tamaracknotch/front"
-	"tamaracknotch/wal"
 	"tamaracknotch/link"
+	"tamaracknotch/wal"
 )
 
 // Daemon is a running process of the system.
@@ -31,19 +30,24 @@
 	engine    *engine.Engine
 	link      *link.Link
 	journal   *wal.Journal
-	callers   *server
-	operators *server
-	links     *server
+	face      notch.Face
+	callers   net.Listener // nil: callers aren't served
+	operators net.Listener // nil: operators aren't served
+	links     net.Listener
+	health    net.Listener // nil: the balancer asks elsewhere
+	metrics   net.Listener // nil: operators serve them alone
+	servers   []notch.Server
+	entry     notch.Server // of callers
 	stopping  atomic.Bool
 }
 
 // Module is the fx wiring: each piece is built from those that it needs, started
 // in that order and stopped in the reverse one.
-func Module(s Settings, out io.Writer) fx.Option {
+func Module(s Settings, faces Faces, out io.Writer) fx.Option {
 	return fx.Options(
 		fx.NopLogger,
 		fx.StopTimeout(time.Duration(s.DrainDelay)+time.Duration(s.StopTimeout)+stopMargin),
-		fx.Supply(s),
+		fx.Supply(s, faces),
 		fx.Provide(
 			func() *logrus.Logger { return newLogger(s, out) },
 			func() metrics.Registry { return metrics.NewRegistry() },
@@ -58,37 +62,22 @@
 // stopMargin is added to the time that fx gives the stop.
 const stopMargin = 10 * time.Second
 
-// server is a listener and what serves it.
-type server struct {
-	listener net.Listener
-	http     *http.Server
-}
-
-func listen(address string) (*server, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", address)
-	}
-	return &server{listener: l, http: &http.Server{ReadHeaderTimeout: headerTimeout}}, nil
-}
-
-// headerTimeout bounds how long a client may take to send its headers.
-const headerTimeout = 10 * time.Second
-
-func (s *server) address() string { return s.listener.Addr().String() }
-
-func (s *server) serve(h http.Handler) {
-	s.http.Handler = h
-	go func() { s.http.Serve(s.listener) }()
-}
-
 // New opens the listeners and the data folder and builds the reducers. Nothing
 // is served yet.
-func New(s Settings, log *logrus.Logger, registry metrics.Registry) (*Daemon, error) {
+func New(s Settings, log *logrus.Logger, registry metrics.Registry, faces Faces) (*Daemon, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
 	d := &Daemon{settings: s, log: log, registry: registry}
+	if s.Face != OwnFace {
+		adapter, ok := faces[s.Face]
+		if !ok {
+			return nil, errors.Errorf("settings: --face is %q: no such adapter is built in", s.Face)
+		}
+		d.face = adapter()
+	} else {
+		d.face = ownFace{d}
+	}
 	if err := d.listen(); err != nil {
 		d.closeListeners()
 		return nil, err
@@ -100,28 +89,48 @@
 	return d, nil
 }
 
-func (d *Daemon) listen() (err error) {
-	if d.callers, err = listen(d.settings.Listen); err != nil {
-		return err
-	}
-	if d.operators, err = listen(d.settings.Operators); err != nil {
-		return err
+// Faces are the adapters that are built in, by name.
+type Faces map[string]func() notch.Face
+
+func (d *Daemon) listen() error {
+	for _, want := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{d.settings.Listen, &d.callers}, {d.settings.Operators, &d.operators}, {d.settings.Link, &d.links},
+		{d.settings.Health, &d.health}, {d.settings.Metrics, &d.metrics},
+	} {
+		if want.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", want.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", want.address)
+		}
+		*want.to = l
 	}
-	d.links, err = listen(d.settings.Link)
-	return err
+	return nil
 }
 
 func (d *Daemon) closeListeners() {
-	for _, s := range []*server{d.callers, d.operators, d.links} {
-		if s != nil {
-			s.listener.Close()
+	for _, l := range []net.Listener{d.callers, d.operators, d.links, d.health, d.metrics} {
+		if l != nil {
+			l.Close()
 		}
 	}
 }
 
+func addressOf(l net.Listener) string {
+	if l == nil {
+		return ""
+	}
+	return l.Addr().String()
+}
+
 func (d *Daemon) build() error {
 	self := notch.Daemon{
-		Name: d.settings.Name, Address: d.links.address(), Domain: d.settings.FailureDomain,
+		Name: d.settings.Name, Address: addressOf(d.links), Domain: d.settings.FailureDomain,
+		Operators:   addressOf(d.operators),
 		Incarnation: uint64(time.Now().UnixNano()), Replica: d.settings.DataDir != "",
 	}
 	var id wal.Identity
@@ -139,7 +148,7 @@
 	cfg := engine.Config{
 		Self: self, Control: controlState(d.settings, self, id.Storage, id.Cluster), Lanes: lanes(d.settings),
 		Clock: newClock(), Seed: rand.Uint64(), Link: d.link,
-		Sink: sink{registry: d.registry, log: d.log, name: self.Name},
+		Agents: d.face.Agents(), Sink: d.sink(),
 	}
 	if d.journal != nil {
 		cfg.Journal = d.journal
@@ -148,11 +157,13 @@
 	return nil
 }
 
+func (d *Daemon) sink() sink { return sink{registry: d.registry, log: d.log, name: d.settings.Name} }
+
 // openData reads the data folder, after beginning a cluster if that is asked for.
 func (d *Daemon) openData(self notch.Daemon) (wal.Identity, *notch.Recovered, error) {
 	j := wal.New(wal.Folder(d.settings.DataDir))
 	fresh := wal.Identity{Storage: rand.Uint64() | 1}
-	if d.settings.Bootstrap {
+	if d.settings.founds() {
 		fresh.Cluster = rand.Uint64() | 1
 	}
 	id, created, err := j.Identity(fresh)
@@ -164,7 +175,7 @@
 		return id, nil, errors.Wrap(err, "data folder "+d.settings.DataDir)
 	}
 	replica := notch.Replica{Name: self.Name, Storage: id.Storage}
-	if created && d.settings.Bootstrap {
+	if created && d.settings.founds() {
 		r = consensus.Bootstrap(replica)
 		if err := j.Append([]notch.Persist{{Hard: r.Hard, Entries: r.Entries}}); err != nil {
 			return id, nil, err
@@ -202,19 +213,31 @@
 
 // start serves. The links come first, callers last.
 func (d *Daemon) start(context.Context) error {
-	d.links.serve(d.linkHandler())
-	for _, a := range d.settings.Join {
+	d.serve(front.Serve(d.links, d.linkHandler()))
+	for _, a := range d.settings.joinAddresses() {
 		d.link.Connect(notch.Daemon{Address: a})
 	}
-	d.operators.serve(front.Operators(d.engine, d.settings.OperatorKey, d, d.registry))
-	d.callers.serve(front.Callers(d.engine, d.settings.AgentKey, entry.New(d.engine, d.settings.Name)))
+	if d.operators != nil {
+		d.serve(d.face.Operators(system{d.engine, d}, d.operators))
+	}
+	if d.health != nil {
+		d.serve(d.face.Health(system{d.engine, d}, d.health))
+	}
+	if d.metrics != nil {
+		d.serve(front.Serve(d.metrics, front.Metrics(d.registry)))
+	}
+	if d.callers != nil {
+		d.entry = d.face.Callers(system{d.engine, d}, d.callers)
+		d.serve(d.entry)
+	}
 	d.log.WithFields(logrus.Fields{
-		"daemon": d.settings.Name, "listen": d.callers.address(), "operators": d.operators.address(),
-		"link": d.links.address(),
+		"daemon": d.settings.Name, "listen": d.Callers(), "operators": d.Operators(), "link": d.Link(),
 	}).Info("serving")
 	return nil
 }
 
+func (d *Daemon) serve(s notch.Server) { d.servers = append(d.servers, s) }
+
 // Start serves callers, operators and the other daemons.
 func (d *Daemon) Start() error { return d.start(context.Background()) }
 
@@ -241,26 +264,42 @@
 	d.stopping.Store(true)
 	d.log.WithField("daemon", d.settings.Name).Info("stopping")
 	select {
-	case <-time.After(time.Duration(d.settings.DrainDelay)):
+	case <-time.After(d.drainDelay()):
 	case <-ctx.Done():
 	}
-	sctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.StopTimeout))
-	defer cancel()
-	err := errors.Wrap(d.callers.http.Shutdown(sctx), "requests in flight at the end of --stop-timeout")
+	var err error
+	if d.entry != nil {
+		sctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.StopTimeout))
+		defer cancel()
+		err = errors.Wrap(d.entry.Shutdown(sctx), "requests in flight at the end of --stop-timeout")
+	}
 	d.engine.Post(notch.ShutdownStarted{})
 	time.Sleep(handOverTime)
 	d.close()
+	d.log.WithField("daemon", d.settings.Name).Info("stopped")
 	return err
 }
 
+// drainDelay is the time that the balancer needs to notice; a daemon without callers
+// has no need of it.
+func (d *Daemon) drainDelay() time.Duration {
+	if d.callers == nil {
+		return 0
+	}
+	return time.Duration(d.settings.DrainDelay)
+}
+
 // handOverTime lets the lead and the slots be handed over before the links close.
 const handOverTime = 300 * time.Millisecond
 
 func (d *Daemon) close() {
-	d.operators.http.Close()
-	d.callers.http.Close()
+	for i := len(d.servers) - 1; i > 0; i-- {
+		d.servers[i].Close()
+	}
 	d.link.Close()
-	d.links.http.Close()
+	if len(d.servers) > 0 {
+		d.servers[0].Close()
+	}
 	d.engine.Close()
 	if d.journal != nil {
 		d.journal.Close()
@@ -275,13 +314,13 @@
 }
 
 // Callers returns the address for callers, backend servers and workers.
-func (d *Daemon) Callers() string { return d.callers.address() }
+func (d *Daemon) Callers() string { return addressOf(d.callers) }
 
 // Operators returns the operators' address.
-func (d *Daemon) Operators() string { return d.operators.address() }
+func (d *Daemon) Operators() string { return addressOf(d.operators) }
 
 // Link returns the address for other daemons.
-func (d *Daemon) Link() string { return d.links.address() }
+func (d *Daemon) Link() string { return addressOf(d.links) }
 
 // Registry returns the daemon's metrics.
 func (d *Daemon) Registry() metrics.Registry { return d.registry }
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -42,14 +42,14 @@
 func tuneCollector() { debug.SetGCPercent(collectAt) }
 
 // Main runs the program until a signal stops it and returns its exit code.
-func Main(argv []string, out, errOut io.Writer) int {
+func Main(argv []string, out, errOut io.Writer, faces Faces) int {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	return Run(ctx, argv, out, errOut)
+	return Run(ctx, argv, out, errOut, faces)
 }
 
 // Run runs the program until ctx ends and returns its exit code.
-func Run(ctx context.Context, argv []string, out, errOut io.Writer) int {
+func Run(ctx context.Context, argv []string, out, errOut io.Writer, faces Faces) int {
 	var s Settings
 	parser, err := arg.NewParser(arg.Config{Program: "notchd", Out: errOut}, &s)
 	if err != nil {
@@ -69,7 +69,7 @@
 		return exitUsage
 	}
 	tuneCollector()
-	app := fx.New(Module(s, errOut))
+	app := fx.New(Module(s, faces, errOut))
 	if err := app.Start(ctx); err != nil {
 		fmt.Fprintln(errOut, "notchd:", dig.RootCause(err))
 		return exitFailed
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -56,3 +56,6 @@
 func (c systemClock) Now() notch.Time {
 	return notch.TimeOf(c.start).Add(time.Since(c.start))
 }
+
+// Wall implements notch.Clock.
+func (systemClock) Wall() int64 { return time.Now().UnixMilli() }
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -1,10 +1,13 @@
 package daemon
 
 import (
+	"time"
+
 	notch "tamaracknotch"
 	"tamaracknotch/batch"
 	"tamaracknotch/claim"
 	"tamaracknotch/consensus"
+	"tamaracknotch/flow"
 	"tamaracknotch/gateway"
 	"tamaracknotch/member"
 	"tamaracknotch/order"
@@ -21,15 +24,20 @@
 // folder has no consensus part and follows what the leader tells.
 func controlState(s Settings, self notch.Daemon, storage, cluster uint64) notch.State {
 	divider, _ := share.New(s.Share)
+	leases := share.DefaultTiming
+	leases.Lease = time.Duration(s.EntryLease)
+	orders := flow.DefaultTiming
+	orders.Lease = time.Duration(s.AgentLease)
 	parts := []notch.Part{member.New(self, storage, cluster), gateway.New(self.Name)}
 	if self.Replica {
-		parts = append(parts, consensus.New(notch.Replica{Name: self.Name, Storage: storage}))
+		parts = append(parts, consensus.New(notch.Replica{Name: self.Name, Storage: storage}, consensus.WithSize(s.Replicas)))
 	}
 	parts = append(parts, table.New(), claim.New(), batch.New(batch.WithPolicy(batchPolicy(s))))
 	if self.Replica {
-		parts = append(parts, share.NewLeader(self.Name, share.WithDivider(divider)))
+		parts = append(parts, flow.New(self, flow.WithTiming(orders)))
+		parts = append(parts, share.NewLeader(self.Name, share.WithDivider(divider), share.WithLeaderTiming(leases)))
 	}
-	parts = append(parts, share.NewEntry(self, s.Lanes))
+	parts = append(parts, share.NewEntry(self, s.Lanes, share.WithEntryTiming(leases)))
 	return notch.NewState(parts...)
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -4,13 +4,16 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"tamaracknotch/api"
+	"tamaracknotch/flow"
 	"tamaracknotch/link"
 	"tamaracknotch/order"
 	"tamaracknotch/pick"
@@ -18,18 +21,26 @@
 	"tamaracknotch/queue"
 	"tamaracknotch/retry"
 	"tamaracknotch/share"
+	"tamaracknotch/table"
 )
 
 // Settings are what a process learns from its flags and its environment.
 type Settings struct {
 	Name          string   `arg:"--name,env:NOTCH_NAME,required" help:"host name, unique among the daemons" placeholder:"NAME"`
 	FailureDomain string   `arg:"--failure-domain,env:NOTCH_FAILURE_DOMAIN,required" help:"failure domain of this host" placeholder:"NAME"`
-	Listen        string   `arg:"--listen,env:NOTCH_LISTEN" default:"127.0.0.1:8080" help:"address for callers, backend servers and workers" placeholder:"IP:PORT"`
-	Operators     string   `arg:"--operators,env:NOTCH_OPERATORS" default:"127.0.0.1:8081" help:"address for operators, metrics and health" placeholder:"IP:PORT"`
+	Listen        string   `arg:"--listen,env:NOTCH_LISTEN" default:"127.0.0.1:8080" help:"address for callers, backend servers and workers; empty: none" placeholder:"IP:PORT"`
+	Operators     string   `arg:"--operators,env:NOTCH_OPERATORS" default:"127.0.0.1:8081" help:"address for operators, metrics and health; empty: none" placeholder:"IP:PORT"`
 	Link          string   `arg:"--link,env:NOTCH_LINK" default:"127.0.0.1:8082" help:"address for the other daemons; it must be reachable from them" placeholder:"IP:PORT"`
 	Join          []string `arg:"--join,env:NOTCH_JOIN" help:"link addresses of some other daemons" placeholder:"IP:PORT"`
+	JoinPort      int      `arg:"--join-port,env:NOTCH_JOIN_PORT" help:"port that replaces the one of each address in --join, if all daemons have the same; 0: none" placeholder:"PORT"`
+	Health        string   `arg:"--health,env:NOTCH_HEALTH" help:"address that tells the balancer alone whether callers are served; empty: none" placeholder:"IP:PORT"`
+	Metrics       string   `arg:"--metrics,env:NOTCH_METRICS" help:"address that serves the metrics alone; empty: none" placeholder:"IP:PORT"`
+	Face          string   `arg:"--face,env:NOTCH_FACE" default:"own" help:"protocol spoken with callers, operators and workers: own, or the name of an adapter that is built in" placeholder:"NAME"`
+	Replicas      int      `arg:"--replicas,env:NOTCH_REPLICAS" help:"voters that the leader chooses among the daemons with a data folder; 0: the pool control lists them" placeholder:"N"`
+	EntryLease    Duration `arg:"--entry-lease,env:NOTCH_ENTRY_LEASE" default:"3s" help:"how long an entry serves without a word from the leader, and so the longest that an edit takes to be in force" placeholder:"DURATION"`
+	AgentLease    Duration `arg:"--agent-lease,env:NOTCH_AGENT_LEASE" default:"5s" help:"how long the tasks on a worker that takes orders go on without a word from the leader" placeholder:"DURATION"`
 	DataDir       string   `arg:"--data-dir,env:NOTCH_DATA_DIR" help:"folder for the control state; makes this daemon a control replica once the pool control lists its name" placeholder:"FOLDER"`
-	Bootstrap     bool     `arg:"--bootstrap,env:NOTCH_BOOTSTRAP" help:"begin a new cluster if the data folder is empty; give it to one daemon only, once"`
+	Bootstrap     bool     `arg:"--bootstrap,env:NOTCH_BOOTSTRAP" help:"begin a new cluster if the data folder is empty; give it to one daemon only, once, or to several with the same --join: of those that it lists, the first begins"`
 	RecoverAlone  bool     `arg:"--recover-alone,env:NOTCH_RECOVER_ALONE" help:"after the majority of the control replicas is lost for good: go on as the only one"`
 	LinkKey       string   `arg:"--link-key,env:NOTCH_LINK_KEY" help:"key that all daemons share; without one every address must be on loopback" placeholder:"KEY"`
 	OperatorKey   string   `arg:"--operator-key,env:NOTCH_OPERATOR_KEY" help:"key that operators send; without one every address must be on loopback" placeholder:"KEY"`
@@ -42,6 +53,27 @@
 	LogLevel  string `arg:"--log-level,env:NOTCH_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
 }
 
+// OwnFace is the name of the protocol that needs no adapter.
+const OwnFace = "own"
+
+// joinAddresses returns the link addresses of the daemons to join.
+func (s Settings) joinAddresses() []string {
+	var out []string
+	for _, a := range s.Join {
+		if host, _, err := net.SplitHostPort(a); err == nil && s.JoinPort > 0 {
+			a = net.JoinHostPort(host, strconv.Itoa(s.JoinPort))
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// founds reports whether this daemon is the one that begins a new cluster.
+func (s Settings) founds() bool {
+	join := s.joinAddresses()
+	return s.Bootstrap && (len(join) == 0 || slices.Min(join) == s.Link)
+}
+
 // Decisions name the behaviour that varies; the last of each choice is a naive
 // baseline.
 type Decisions struct {
@@ -111,6 +143,7 @@
 func Defaults(name, domain string) Settings {
 	return Settings{
 		Name: name, FailureDomain: domain, Listen: "127.0.0.1:0", Operators: "127.0.0.1:0", Link: "127.0.0.1:0",
+		Face: OwnFace, EntryLease: Duration(share.DefaultTiming.Lease), AgentLease: Duration(flow.DefaultTiming.Lease),
 		Lanes: 2, StopTimeout: Duration(60 * time.Second), Decisions: DefaultDecisions(), LogFormat: "text", LogLevel: "info",
 	}
 }
@@ -121,6 +154,9 @@
 	maxName       = 128
 	maxDrainDelay = 10 * time.Minute
 	minKey        = 16 // bytes
+	minLease      = 500 * time.Millisecond
+	maxLease      = time.Minute
+	maxPort       = 65535
 )
 
 // Check returns an error that names each setting that is wrong, its value and
@@ -137,6 +173,17 @@
 	}
 	s.checkAddresses(fail)
 	s.checkKeys(fail)
+	for flag, d := range map[string]Duration{"--entry-lease": s.EntryLease, "--agent-lease": s.AgentLease} {
+		if d < Duration(minLease) || d > Duration(maxLease) {
+			fail(flag, time.Duration(d), "must be 500ms to 1m")
+		}
+	}
+	if s.Replicas < 0 || s.Replicas > table.MaxReplicas {
+		fail("--replicas", s.Replicas, "must be 0 to 7")
+	}
+	if s.JoinPort < 0 || s.JoinPort > maxPort {
+		fail("--join-port", s.JoinPort, "must be 0 to 65535")
+	}
 	if s.Lanes < 1 || s.Lanes > maxLanes {
 		fail("--lanes", s.Lanes, "must be 1 to 64")
 	}
@@ -157,7 +204,16 @@
 }
 
 func (s Settings) checkAddresses(fail func(string, any, string)) {
-	for flag, a := range map[string]string{"--listen": s.Listen, "--operators": s.Operators, "--link": s.Link} {
+	if s.Link == "" {
+		fail("--link", "", "is needed")
+	}
+	addresses := map[string]string{
+		"--listen": s.Listen, "--operators": s.Operators, "--link": s.Link, "--health": s.Health, "--metrics": s.Metrics,
+	}
+	for flag, a := range addresses {
+		if a == "" {
+			continue
+		}
 		if err := api.CheckAddress(a); err != nil {
 			fail(flag, a, err.Error())
 		}
@@ -173,6 +229,9 @@
 	keys := map[string]string{"--link-key": s.LinkKey, "--operator-key": s.OperatorKey}
 	guards := map[string]string{"--link-key": s.Link, "--operator-key": s.Operators}
 	for flag, key := range keys {
+		if flag == "--operator-key" && (s.Face != OwnFace || s.Operators == "") {
+			continue
+		}
 		if key == "" && !link.IsLoopback(guards[flag]) {
 			fail(flag, "", "is needed, as "+guards[flag]+" isn't on loopback")
 		}
--- a/drive/drive.go
+++ b/drive/drive.go
@@ -87,6 +87,9 @@
 // Time returns the present time of a node's clock.
 func (w *World) Time(n *Node) notch.Time { return n.time(w.now) }
 
+// wall returns the virtual time as Unix time in ms.
+func (w *World) wall() int64 { return epoch.Add(w.now).Std().UnixMilli() }
+
 // Node returns the named node, or nil.
 func (w *World) Node(name string) *Node { return w.nodes[name] }
 
@@ -199,7 +202,7 @@
 	for _, body := range []notch.Body{b, notch.Flush{}} {
 		var effects []notch.Effect
 		w.Steps++
-		n.Control, effects = notch.Step(n.Control, notch.Event{At: w.Time(n), Seed: w.Rand.Uint64(), Body: body})
+		n.Control, effects = notch.Step(n.Control, notch.Event{At: w.Time(n), Wall: w.wall(), Seed: w.Rand.Uint64(), Body: body})
 		for _, f := range effects {
 			w.run(n, f)
 		}
@@ -213,7 +216,7 @@
 	}
 	var effects []notch.Effect
 	w.Steps++
-	n.Lanes[lane], effects = notch.Step(n.Lanes[lane], notch.Event{At: w.Time(n), Seed: w.Rand.Uint64(), Body: b})
+	n.Lanes[lane], effects = notch.Step(n.Lanes[lane], notch.Event{At: w.Time(n), Wall: w.wall(), Seed: w.Rand.Uint64(), Body: b})
 	for _, f := range effects {
 		if wake, ok := f.(notch.Wake); ok {
 			w.sameStart(n, wake.After, func() { w.PostLane(n, lane, wake.Body) })
--- a/effect.go
+++ b/effect.go
@@ -61,6 +61,20 @@
 	Err    error
 }
 
+// CallAgent sends an order to an agent. The answer comes back as AgentAnswered.
+type CallAgent struct {
+	Agent   Agent
+	Order   AgentOrder
+	Timeout time.Duration
+}
+
+// AnswerAgent completes an agent's call: what it said is in force. Next is the
+// operators' address that it should call from now on, if one is known.
+type AnswerAgent struct {
+	Ticket uint64
+	Next   string
+}
+
 // ToLanes hands an event to every lane.
 type ToLanes struct{ Body Body }
 
@@ -134,6 +148,8 @@
 func (Answer) effect()       {}
 func (AnswerWorker) effect() {}
 func (AnswerQuery) effect()  {}
+func (CallAgent) effect()    {}
+func (AnswerAgent) effect()  {}
 func (ToLanes) effect()      {}
 func (ToControl) effect()    {}
 func (Dispatch) effect()     {}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -29,6 +29,7 @@
 	Seed    uint64
 	Link    notch.Link
 	Journal notch.Journal // nil without a data folder
+	Agents  notch.Agents  // nil if no agents take orders
 	Sink    Sink
 }
 
@@ -98,6 +99,10 @@
 		e.answer(f.Ticket, f)
 	case notch.AnswerQuery:
 		e.answer(f.Ticket, f)
+	case notch.AnswerAgent:
+		e.answer(f.Ticket, f)
+	case notch.CallAgent:
+		e.callAgent(f)
 	case notch.ToLanes:
 		e.toLanes(f.Body)
 	default:
@@ -105,6 +110,19 @@
 	}
 }
 
+// callAgent has an order carried out on a goroutine of its own; the number of calls
+// under way is bounded by the runs and agents that the state holds.
+func (e *Engine) callAgent(f notch.CallAgent) {
+	if e.cfg.Agents == nil {
+		return
+	}
+	sent := e.cfg.Clock.Now()
+	go func() {
+		a := e.cfg.Agents.Call(f)
+		e.Post(notch.AgentAnswered{Life: f.Agent.Life(), Order: f.Order, SentAt: sent, Answer: a})
+	}()
+}
+
 func (e *Engine) toLanes(b notch.Body) {
 	switch b := b.(type) {
 	case notch.TablesApplied:
@@ -218,6 +236,21 @@
 	return f.(notch.AnswerWorker).Reply, nil
 }
 
+// Say passes on an agent's word about itself. It returns the operators' address that
+// the agent should call next, if one is known, once the word is in force.
+func (e *Engine) Say(ctx context.Context, a notch.Agent) (next string, err error) {
+	f, err := e.call(ctx, func(ticket uint64, deadline notch.Time) notch.Body {
+		return notch.AgentSaid{Ticket: ticket, Agent: a, Deadline: deadline}
+	})
+	if err != nil {
+		return "", err
+	}
+	if k, ok := f.(notch.AnswerAgent); ok {
+		return k.Next, nil
+	}
+	return "", f.(notch.Answer).Err
+}
+
 // Announce takes a backend server's word.
 func (e *Engine) Announce(b notch.BackendServer) { e.Post(notch.Announced{Server: b}) }
 
--- a/engine/loop.go
+++ b/engine/loop.go
@@ -20,7 +20,7 @@
 	step := func(b notch.Body) {
 		seed = notch.Mix(seed)
 		var effects []notch.Effect
-		state, effects = notch.Step(state, notch.Event{At: clock.Now(), Seed: seed, Body: b})
+		state, effects = notch.Step(state, notch.Event{At: clock.Now(), Wall: clock.Wall(), Seed: seed, Body: b})
 		for _, f := range effects {
 			run(f)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,7 +41,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	route, ok := h.engine.Tables().Match(r.URL.Path)
+	route, ok := h.engine.Tables().Match(r.Host, r.URL.Path)
 	if !ok {
 		refuse(w, http.StatusNotFound, "no route matches the path", true, 0)
 		return
--- a/event.go
+++ b/event.go
@@ -6,6 +6,7 @@
 // besides its state is in it.
 type Event struct {
 	At   Time
+	Wall int64  // Unix time in ms, which may jump; only due times rest on it
 	Seed uint64 // the event's share of randomness
 	Body Body
 }
@@ -151,6 +152,22 @@
 	Contact Time // a quorum answered a message sent at this instant
 }
 
+// AgentSaid is an agent's word about itself that reached this daemon. It is
+// answered with AnswerAgent.
+type AgentSaid struct {
+	Ticket   uint64
+	Agent    Agent
+	Deadline Time
+}
+
+// AgentAnswered is the answer to a CallAgent.
+type AgentAnswered struct {
+	Life   Life
+	Order  AgentOrder
+	SentAt Time
+	Answer AgentAnswer
+}
+
 // TablesCommitted is a revision as the replicated log gives it, on a replica.
 type TablesCommitted struct{ Tables Tables }
 
@@ -258,6 +275,8 @@
 func (Applied) body()          {}
 func (LeaderChanged) body()    {}
 func (Leadership) body()       {}
+func (AgentSaid) body()        {}
+func (AgentAnswered) body()    {}
 func (TablesCommitted) body()  {}
 func (TablesApplied) body()    {}
 func (TablesLearned) body()    {}
--- a/example_test.go
+++ b/example_test.go
@@ -45,7 +45,7 @@
 func ExampleTables_Match() {
 	t := notch.Tables{Routes: []notch.Route{{Name: "all", Path: "/"}, {Name: "sale", Path: "/sale"}}}
 	for _, path := range []string{"/sale/stock", "/sales", "/"} {
-		r, _ := t.Match(path)
+		r, _ := t.Match("", path)
 		fmt.Println(path, r.Name)
 	}
 	// Output:
--- a/experiment/costs.go
+++ b/experiment/costs.go
@@ -7,8 +7,8 @@
 
 	notch "tamaracknotch"
 	"tamaracknotch/batch"
-	"tamaracknotch/wal"
 	"tamaracknotch/traffic"
+	"tamaracknotch/wal"
 )
 
 // driver drives one state with events at a growing time.
--- /dev/null
+++ b/front/serve.go
@@ -0,0 +1,46 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/rcrowley/go-metrics"
+)
+
+// headerTimeout bounds how long a client may take to send its headers.
+const headerTimeout = 10 * time.Second
+
+// Server serves one listener.
+type Server struct{ http *http.Server }
+
+// Serve begins to serve l.
+func Serve(l net.Listener, h http.Handler) Server {
+	s := Server{http: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}}
+	go func() { s.http.Serve(l) }()
+	return s
+}
+
+// Shutdown implements notch.Server.
+func (s Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Close implements notch.Server.
+func (s Server) Close() error { return s.http.Close() }
+
+// Metrics returns a handler that answers every path with the metrics as text, a name
+// and a value a line.
+func Metrics(registry metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		metrics.WriteOnce(registry, w)
+	})
+}
+
+// Readiness returns a handler that tells the balancer whether callers are served.
+func Readiness(h Health) http.Handler {
+	r := newRouter()
+	r.GET("/readyz", func(c *gin.Context) { ready(c, h) })
+	return r
+}
--- a/load/site.go
+++ b/load/site.go
@@ -69,7 +69,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d, err := daemon.New(cfg, log, metrics.NewRegistry())
+	d, err := daemon.New(cfg, log, metrics.NewRegistry(), nil)
 	if err != nil {
 		return err
 	}
--- a/member.go
+++ b/member.go
@@ -9,6 +9,7 @@
 	Domain      string // failure domain
 	Incarnation uint64 // grows with every start
 	Replica     bool   // has a data folder
+	Operators   string // its operators' address; empty: none
 }
 
 // ServerID identifies one incarnation of a backend server.
--- a/message.go
+++ b/message.go
@@ -197,12 +197,14 @@
 	AskJob     QuestionKind = "job"     // the named job with its tasks
 	AskWorkers QuestionKind = "workers" // all workers
 	AskEntries QuestionKind = "entries" // all entries and the revision each obeys
+	AskFlow    QuestionKind = "flow"    // the named job made of stages
+	AskPending QuestionKind = "pending" // jobs of the named route of which no task has started
 )
 
 // Question is something that the leader is asked.
 type Question struct {
 	Kind QuestionKind
-	Name string // for AskJob
+	Name string // for AskJob, AskFlow and AskPending
 }
 
 // Query passes a question to the leader.
@@ -224,10 +226,36 @@
 	Waits    string // why the next task of the job waits
 	Workers  []Worker
 	Entries  []EntryStatus
+	Flow     FlowView
+	Pending  int    // for AskPending
 	Revision uint64 // of the tables, for AskEntries
 	Complete bool   // for AskEntries: no entry that isn't listed can hold a lease
 }
 
+// FlowState is the state of a job made of stages.
+type FlowState string
+
+// The states of a job made of stages.
+const (
+	FlowQueued    FlowState = "queued" // no task has started
+	FlowRunning   FlowState = "running"
+	FlowCompleted FlowState = "completed"
+	FlowFailed    FlowState = "failed"
+	FlowCancelled FlowState = "cancelled"
+)
+
+// Ended reports whether s is final.
+func (s FlowState) Ended() bool {
+	return s == FlowCompleted || s == FlowFailed || s == FlowCancelled
+}
+
+// FlowView is what is known of a job made of stages; its state is empty if there is
+// no such job.
+type FlowView struct {
+	ID    string
+	State FlowState
+}
+
 // EntryStatus is what the leader knows of one entry.
 type EntryStatus struct {
 	Name     string
--- a/policy.go
+++ b/policy.go
@@ -140,3 +140,47 @@
 	// Pressure estimates the pressure where tasks of these kinds run together.
 	Pressure(kinds []string) float64
 }
+
+// ReadyTask is what an order of tasks of flows knows of one that could start now.
+type ReadyTask struct {
+	Priority  int           // of the route; 0 comes first
+	Lasts     bool          // it runs until its job is cancelled
+	Fills     bool          // it takes only the processors that others leave
+	Accepted  Time          // when its job was accepted
+	Due       Time          // when its job has to be complete to meet its objective
+	Remaining time.Duration // longest chain of work from this task on
+}
+
+// FlowOrder decides which task of a flow starts first.
+type FlowOrder interface {
+	// Rank orders ready tasks; the lowest goes first.
+	Rank(t ReadyTask, now Time) int64
+}
+
+// RunRequest is a task of a flow that is to be placed.
+type RunRequest struct {
+	Task  TaskRef
+	Stage Stage
+}
+
+// AgentView is an agent as a placer sees it.
+type AgentView struct {
+	Agent   Agent
+	Free    Resources // not reserved
+	Filling int64     // milli-cpu declared by the tasks that fill
+	Serving int       // tasks that serve users of their own
+	Same    int       // runs of the same stage and round
+}
+
+// AgentViews is an indexed view of the agents that take a task.
+type AgentViews interface {
+	Len() int
+	// At returns agent i. It takes no task of the request if ok is false.
+	At(i int) (v AgentView, ok bool)
+}
+
+// RunPlacer chooses an agent for a run.
+type RunPlacer interface {
+	// Place returns an index of as, or -1 if the task fits nowhere now.
+	Place(r RunRequest, as AgentViews, seed uint64) int
+}
--- a/runner.go
+++ b/runner.go
@@ -22,8 +22,19 @@
 	Close() error
 }
 
+// Agents carries orders to agents.
+type Agents interface {
+	// Call sends an order and waits for the answer, for at most c.Timeout.
+	Call(c CallAgent) AgentAnswer
+	Close() error
+}
+
 // Clock tells the time for events.
-type Clock interface{ Now() Time }
+type Clock interface {
+	Now() Time
+	// Wall returns the Unix time in ms, which may jump.
+	Wall() int64
+}
 
 // Dumper is a part that shows its state on request.
 type Dumper interface {
--- a/share/leader.go
+++ b/share/leader.go
@@ -136,7 +136,7 @@
 	p, grant := p.grant(now, key, lease)
 	grant.SentAt, grant.Incarnation = m.SentAt, m.Incarnation
 	if m.Revision < p.tables.Revision {
-		tables := p.tables
+		tables := p.tables.WithoutDocument()
 		grant.Tables = &tables
 	}
 	return p, []notch.Effect{notch.Send{To: from, Message: grant}}
--- a/snapshot.go
+++ b/snapshot.go
@@ -78,3 +78,11 @@
 	h.Vote = name
 	return h
 }
+
+// FlowsImage is the replicated state of jobs made of stages, and of agents.
+type FlowsImage struct {
+	Flows  []FlowRecord
+	Agents []Agent
+}
+
+func (FlowsImage) image() {}
--- a/state.go
+++ b/state.go
@@ -32,7 +32,7 @@
 // on every replica alike.
 func Step(s State, e Event) (State, []Effect) {
 	s.parts = slices.Clone(s.parts)
-	pending, out := s.reduce(Event{At: e.At, Seed: Mix(e.Seed), Body: e.Body})
+	pending, out := s.reduce(Event{At: e.At, Wall: e.Wall, Seed: Mix(e.Seed), Body: e.Body})
 	slices.Reverse(pending)
 	for n := uint64(1); len(pending) > 0; n++ {
 		body := pending[len(pending)-1]
@@ -40,7 +40,7 @@
 		if due, ok := body.(SnapshotDue); ok {
 			body = SnapshotTaken{s.snapshot(due)}
 		}
-		emitted, effects := s.reduce(Event{At: e.At, Seed: Mix(e.Seed + n), Body: body})
+		emitted, effects := s.reduce(Event{At: e.At, Wall: e.Wall, Seed: Mix(e.Seed + n), Body: body})
 		out = append(out, effects...)
 		slices.Reverse(emitted)
 		pending = append(pending, emitted...)
--- a/table.go
+++ b/table.go
@@ -46,12 +46,27 @@
 // Route says where the requests below a path prefix go.
 type Route struct {
 	Name       string
+	Host       string        // of the request; empty: any
 	Path       string        // prefix, matched at path separators
 	Pool       string        // name of the pool that serves it
 	Timeout    time.Duration // deadline of a request, from its arrival at the entry
 	Class      Class
 	Idempotent bool // every method on this route may be repeated
 	MaxQueue   int  // requests that may wait at one entry
+
+	// Of a route to a pool of workers, which is a queue of jobs made of stages:
+	Priority int           // 0 comes first
+	Attempts int           // failed runs after which a task fails for good; 0: one
+	Stretch  float64       // a job's objective is this many times its longest chain
+	Target   time.Duration // added to the objective
+}
+
+// CallerLimits bound what callers may send. A zero isn't a limit.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Team is a share of a worker pool's capacity.
@@ -80,6 +95,8 @@
 	Connections int      // connections open to one backend server; 0: as announced
 	Leaving     []string // hosts or backend servers that take no new work
 	Teams       []Team
+	Unguarded   bool // agents of a worker pool start what doesn't fit
+	Standby     bool // hosts of the pool are off
 }
 
 // Admits reports whether host may serve the pool.
@@ -108,6 +125,29 @@
 	PoolsVersion  uint64
 	Routes        []Route
 	Pools         []Pool
+
+	// Of a document that sets both tables; see ReplaceTables:
+	DocumentVersion uint64
+	Document        string // on replicas only
+	Limits          CallerLimits
+}
+
+// WithDocument returns t set from a document, one revision later. The versions of
+// the tables grow with it.
+func (t Tables) WithDocument(c ReplaceTables) Tables {
+	control, _ := t.Pool(ControlPool)
+	t.Routes, t.Pools = c.Routes, append([]Pool{control}, c.Pools...)
+	t.DocumentVersion, t.Document, t.Limits = c.Version, c.Document, c.Limits
+	t.RoutesVersion++
+	t.PoolsVersion++
+	t.Revision++
+	return t
+}
+
+// WithoutDocument returns t as entries need it.
+func (t Tables) WithoutDocument() Tables {
+	t.Document = ""
+	return t
 }
 
 // WithRoutes returns t with new routes, one version and revision later.
@@ -143,10 +183,22 @@
 	return t.Pools[i], true
 }
 
-// Match returns the route with the longest prefix of path.
-func (t Tables) Match(path string) (Route, bool) {
+// Route returns the named route.
+func (t Tables) Route(name string) (Route, bool) {
+	i := slices.IndexFunc(t.Routes, func(r Route) bool { return r.Name == name })
+	if i < 0 {
+		return Route{}, false
+	}
+	return t.Routes[i], true
+}
+
+// Match returns the route with the longest prefix of path among those for host.
+func (t Tables) Match(host, path string) (Route, bool) {
 	best, found := Route{}, false
 	for _, r := range t.Routes {
+		if r.Host != "" && r.Host != host {
+			continue
+		}
 		if covers(r.Path, path) && (!found || len(r.Path) > len(best.Path)) {
 			best, found = r, true
 		}
--- a/table/table.go
+++ b/table/table.go
@@ -75,6 +75,12 @@
 		if p.tables.Revision != before {
 			p, out = p.committed()
 		}
+	case notch.ReplaceTables:
+		before := p.tables.Revision
+		p, r = p.replace(c, e.At)
+		if p.tables.Revision != before {
+			p, out = p.committed()
+		}
 	case notch.Noop, notch.ChangeReplicas:
 		r = notch.Done{}
 	default:
@@ -108,6 +114,25 @@
 	return p.answer(c, at, notch.EditAccepted, nil)
 }
 
+// replace returns p after a document, and the answer. A version that isn't above the
+// one in force is accepted and changes nothing.
+func (p Part) replace(c notch.ReplaceTables, at notch.Time) (Part, notch.EditResult) {
+	next := p.tables.WithDocument(c)
+	if fields := ValidateDocument(next); len(fields) > 0 {
+		return p, notch.EditResult{Outcome: notch.EditInvalid, Version: p.tables.DocumentVersion, At: at, Fields: fields}
+	}
+	if c.Version > p.tables.DocumentVersion {
+		p.tables = next
+		p.routes, p.pools = stamp{documentAuthor, at}, stamp{documentAuthor, at}
+	}
+	return p, notch.EditResult{
+		Outcome: notch.EditAccepted, Version: p.tables.DocumentVersion, Revision: p.tables.Revision, By: documentAuthor, At: at,
+	}
+}
+
+// documentAuthor is the author of tables that were set from a document.
+const documentAuthor = "document"
+
 func (p Part) answer(c notch.EditTable, at notch.Time, o notch.EditOutcome, fields []notch.FieldError) (Part, notch.EditResult) {
 	by := p.pools
 	if c.Table == notch.RoutesTable {
--- a/table/validate.go
+++ b/table/validate.go
@@ -19,7 +19,10 @@
 )
 
 // checker gathers the errors of one edit.
-type checker struct{ errs []notch.FieldError }
+type checker struct {
+	errs     []notch.FieldError
+	anyNames bool // names come from another system and may hold any character
+}
 
 func (c *checker) fail(field, format string, args ...any) {
 	c.errs = append(c.errs, notch.FieldError{Field: field, Reason: fmt.Sprintf(format, args...)})
@@ -41,6 +44,15 @@
 	return c.errs
 }
 
+// ValidateDocument returns what is wrong with tables that were set from a document.
+func ValidateDocument(t notch.Tables) []notch.FieldError {
+	c := checker{anyNames: true}
+	c.routes(t.Routes)
+	c.pools(t.Pools)
+	c.joins(notch.RoutesTable, t)
+	return c.errs
+}
+
 func (c *checker) routes(routes []notch.Route) {
 	if len(routes) > MaxRows {
 		c.fail("routes", "has %d rows, at most %d are allowed", len(routes), MaxRows)
@@ -50,11 +62,11 @@
 		at := fmt.Sprintf("routes[%d]", i)
 		c.name(at+".name", r.Name)
 		c.unique(at+".name", r.Name, names)
-		c.unique(at+".path", r.Path, paths)
+		c.unique(at+".path", r.Host+r.Path, paths)
 		if !strings.HasPrefix(r.Path, "/") {
 			c.fail(at+".path", "must begin with a slash")
 		}
-		if strings.HasPrefix(r.Path, "/v1/") || r.Path == "/v1" {
+		if r.Host == "" && (strings.HasPrefix(r.Path, "/v1/") || r.Path == "/v1") {
 			c.fail(at+".path", "/v1 is reserved for the system")
 		}
 		if r.Timeout <= 0 || r.Timeout > MaxTimeout {
@@ -134,8 +146,8 @@
 			c.fail(field, "there is no pool %q", r.Pool)
 		case !ok:
 			c.fail("pools", "route %q still uses the pool %q", r.Name, r.Pool)
-		case p.Kind != notch.ServicePool:
-			c.fail(field, "pool %q is of kind %q, must be %q", r.Pool, p.Kind, notch.ServicePool)
+		case p.Kind == notch.ReplicaPool:
+			c.fail(field, "pool %q is of kind %q, which serves no routes", r.Pool, p.Kind)
 		}
 	}
 }
@@ -145,6 +157,9 @@
 		c.fail(field, "must have 1 to %d characters", MaxName)
 		return
 	}
+	if c.anyNames {
+		return
+	}
 	for _, r := range name {
 		if !strings.ContainsRune("abcdefghijklmnopqrstuvwxyz0123456789-.", r) {
 			c.fail(field, "%q may hold lower-case letters, digits, hyphens and dots only", name)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -29,6 +29,8 @@
 	notch.LeaderHint{}, notch.LeaderQuery{}, notch.Hello{}, notch.Goodbye{}, notch.Announcements{},
 	notch.EntryReport{}, notch.EntryGrant{}, notch.WorkerRequest{}, notch.WorkerReply{},
 	notch.Query{}, notch.QueryAnswer{}, notch.Resend{},
+	notch.ReplaceTables{}, notch.SubmitFlow{}, notch.CancelFlow{}, notch.AdmitAgent{}, notch.PlaceRuns{}, notch.EndRuns{},
+	notch.FlowResult{}, notch.FlowsImage{},
 }
 
 // The limits of what is decoded.
