Learn which images disturb which; pace the likely causes and move them

Cause: every task that fills was paced by the worst tail on its agent, at every look. Change: press holds a noisy or over pairs of images, learnt from the looks at which a tail came over its target; the likely causes are paced, and moved if the pair is known to be bad; placement avoids such pairs and packs tasks that serve.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -228,6 +228,7 @@
 	s.vacate(life.Agent, e.Run, st)
 	s.starts = s.starts.Delete(e.Run)
 	s.paces = s.paces.Delete(e.Run)
+	s.over = s.over.Delete(e.Run)
 	next := j.WithTask(e.Run.Task, s.taskAfter(j, st, t.WithoutRun(r.Number), e, at), at)
 	s.putJob(next)
 	s.count("runs-"+string(e.Kind), 1)
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -18,6 +18,7 @@
 	notch "tamaracknotch"
 	"tamaracknotch/assign"
 	"tamaracknotch/graph"
+	"tamaracknotch/press"
 )
 
 // Timing holds the durations of leases and decisions.
@@ -49,17 +50,20 @@
 // Policy gathers the behaviour that varies.
 type Policy struct {
 	Order  notch.FlowOrder
-	Placer notch.RunPlacer
+	Placer func(notch.PairHarm) notch.RunPlacer
+	Harm   notch.PairHarm // before any look
 }
 
 // DefaultPolicy is the one that measured best; see docs/PLATFORM.md.
 func DefaultPolicy() Policy {
-	return Policy{Order: assign.BySlack{}, Placer: assign.Roomiest{}}
+	placer := func(h notch.PairHarm) notch.RunPlacer { return assign.Roomiest{Harm: h} }
+	return Policy{Order: assign.BySlack{}, Placer: placer, Harm: press.New()}
 }
 
 // NaivePolicy is the baseline: first come, first fit.
 func NaivePolicy() Policy {
-	return Policy{Order: assign.FIFO{}, Placer: assign.FirstFit{}}
+	placer := func(notch.PairHarm) notch.RunPlacer { return assign.FirstFit{} }
+	return Policy{Order: assign.FIFO{}, Placer: placer, Harm: press.None{}}
 }
 
 // Part is the state of jobs made of stages and of agents on one replica.
@@ -86,7 +90,9 @@
 	fenced   uint64 // term in which an agent told of a later leader
 	contacts *immutable.SortedMap[string, contact]
 	starts   *immutable.Map[notch.RunRef, start]
-	paces    *immutable.Map[notch.RunRef, int]
+	paces    *immutable.Map[notch.RunRef, pace]
+	over     *immutable.Map[notch.RunRef, notch.Time] // tails over their targets, since when
+	harm     notch.PairHarm
 	placing  notch.Time // when placements were proposed that aren't committed yet; zero: none
 	planned  notch.Time
 	dirty    bool // something changed that a plan depends on
@@ -125,7 +131,9 @@
 func (p Part) withoutLead() Part {
 	p.contacts = immutable.NewSortedMap[string, contact](nil)
 	p.starts = immutable.NewMap[notch.RunRef, start](runRefs{})
-	p.paces = immutable.NewMap[notch.RunRef, int](runRefs{})
+	p.paces = immutable.NewMap[notch.RunRef, pace](runRefs{})
+	p.over = immutable.NewMap[notch.RunRef, notch.Time](runRefs{})
+	p.harm = p.policy.Harm
 	p.placing, p.planned = 0, 0
 	return p
 }
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -93,6 +93,7 @@
 // assign chooses an agent for each task that fits somewhere.
 func (s *stepper) assign(tasks []ready) []notch.RunPlacement {
 	pools := map[string]*views{}
+	placer := s.policy.Placer(s.harm)
 	full := map[notch.TaskRef]bool{} // stages of which a task fitted nowhere
 	var out []notch.RunPlacement
 	for i, t := range tasks {
@@ -107,7 +108,7 @@
 			pools[pool.Name] = v
 		}
 		v.ask(stage, t.stage)
-		k := s.policy.Placer.Place(notch.RunRequest{Task: t.ref, Stage: t.stage}, v, s.seed+uint64(i))
+		k := placer.Place(notch.RunRequest{Task: t.ref, Stage: t.stage}, v, s.seed+uint64(i))
 		if k < 0 {
 			full[stage] = true
 			continue
--- a/flow/views.go
+++ b/flow/views.go
@@ -42,13 +42,25 @@
 	view := notch.AgentView{Agent: a, Free: a.Size.Minus(used), Filling: fills}
 	refs, _ := s.runs.Get(a.ID)
 	for _, ref := range refs {
-		if j, ok := s.jobs.Get(ref.Task.Flow); ok && j.Stage(ref.Task.Stage).Target > 0 {
-			view.Serving++
+		if j, ok := s.jobs.Get(ref.Task.Flow); ok {
+			view = withTask(view, j.Stage(ref.Task.Stage))
 		}
 	}
 	return view
 }
 
+// withTask returns a view with the images and the serving share of one more task.
+func withTask(v notch.AgentView, st notch.Stage) notch.AgentView {
+	switch {
+	case st.Fills:
+		v.Filled = append(slices.Clip(v.Filled), st.Image)
+	case st.Target > 0:
+		v.Serving += st.Size.MilliCPU
+		v.Served = append(slices.Clip(v.Served), st.Image)
+	}
+	return v
+}
+
 // ask sets what the next calls are about.
 func (v *views) ask(stage notch.TaskRef, st notch.Stage) {
 	v.asked, v.stage = stage, st
@@ -97,9 +109,7 @@
 	if v.stage.Fills {
 		view.Filling += v.stage.Size.MilliCPU
 	}
-	if v.stage.Target > 0 {
-		view.Serving++
-	}
+	*view = withTask(*view, v.stage)
 	if v.stage.PerAgent > 0 {
 		v.same[v.asked][view.Agent.ID]++
 	}
--- a/policy.go
+++ b/policy.go
@@ -168,7 +168,9 @@
 	Agent   Agent
 	Free    Resources // not reserved
 	Filling int64     // milli-cpu declared by the tasks that fill
-	Serving int       // tasks that serve users of their own
+	Serving int64     // milli-cpu reserved by the tasks that serve users of their own
+	Served  []string  // images of the tasks that serve
+	Filled  []string  // images of the tasks that fill
 	Same    int       // runs of the same stage and round
 }
 
@@ -184,3 +186,19 @@
 	// Place returns an index of as, or -1 if the task fits nowhere now.
 	Place(r RunRequest, as AgentViews, seed uint64) int
 }
+
+// Tail is one task that serves, in a look at its agent.
+type Tail struct {
+	Image string
+	Over  bool // its tail has just come over its target; if not, it is under it
+}
+
+// PairHarm is what is known of the harm that tasks that fill do to tasks that serve
+// beside them, by pairs of images. It is immutable.
+type PairHarm interface {
+	// WithLook returns it with one look at an agent, given the images that filled.
+	WithLook(tails []Tail, filling []string) PairHarm
+	// Risk estimates the chance, 0 to 1, that a task that fills brings one that
+	// serves beside it over its target.
+	Risk(serving, filling string) float64
+}
