Sync what a deposed leader appended; notice dead links sooner; bound memory

A leader sends entries that a flush hasn't synced yet when a reply asks for more; deposed before the flush, it held them in memory only, a later leader found them there and sent none, and the next entry left a gap. Ruled out: torn writes (the gap was there after kills that keep the disk). Change: stepping down syncs the tail. A link hangs up when its peer dials with a later incarnation, bounds unacknowledged bytes to 1.5 s, and pauses 1 s at most.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -42,7 +42,7 @@
 }
 
 // DefaultLimits is meant for entries of a few hundred bytes to some kilobytes.
-var DefaultLimits = Limits{Batch: 1024, Pipeline: 8192, Snapshot: 20000, KeepBack: 2000, CatchUp: 64}
+var DefaultLimits = Limits{Batch: 1024, Pipeline: 8192, Snapshot: 4000, KeepBack: 500, CatchUp: 64}
 
 type role uint8
 
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -20,6 +20,9 @@
 // stepDown makes s a follower of leader, which may be unknown.
 func (s *stepper) stepDown(leader string) {
 	wasLeader := s.role == roleLeader
+	if wasLeader {
+		s.persistTail()
+	}
 	s.role = follower
 	s.votes = nil
 	s.progress = nil
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -75,10 +75,7 @@
 	if !s.dirty || s.role != roleLeader {
 		return
 	}
-	s.dirty = false
-	from := max(s.persistFrom(), s.log.base+1)
-	s.out = append(s.out, notch.Persist{Hard: s.hard, Entries: s.log.slice(from, int(s.log.lastIndex()-from+1))})
-	s.sentToJournal = s.log.lastIndex()
+	s.persistTail()
 	for i := range s.progress {
 		if s.progress[i].next+uint64(s.limits.Pipeline) > s.log.lastIndex() {
 			s.sendAppend(i)
@@ -86,6 +83,19 @@
 	}
 }
 
+// persistTail hands the journal what was appended since the last flush. A leader that
+// steps down does so too: followers may hold these entries already, and a later leader
+// takes those that the log holds in memory as synced or about to be.
+func (s *stepper) persistTail() {
+	if !s.dirty {
+		return
+	}
+	s.dirty = false
+	from := max(s.persistFrom(), s.log.base+1)
+	s.out = append(s.out, notch.Persist{Hard: s.hard, Entries: s.log.slice(from, int(s.log.lastIndex()-from+1))})
+	s.sentToJournal = s.log.lastIndex()
+}
+
 func (s *stepper) persistFrom() uint64 {
 	return max(min(s.sentToJournal, s.log.lastIndex()), s.log.base) + 1
 }
--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -20,7 +20,7 @@
 // startBench starts a lone daemon with one route to a pool of backend servers at
 // the address.
 func startBench(b *testing.B, backend string) *Daemon {
-	tuneCollector()
+	tuneCollector(0)
 	s := Defaults("bench", "north")
 	s.DataDir, s.Bootstrap, s.Lanes = b.TempDir(), true, 4
 	log := logrus.New()
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -34,12 +34,25 @@
 }
 
 // collectAt is the growth of the heap, in percent, at which the garbage collector
-// starts. A limit of memory is not set: near one, collections would eat the processor
-// just when there is the most traffic.
+// starts, where no limit of memory is set.
 const collectAt = 300
 
-// tuneCollector trades memory for shorter tails.
-func tuneCollector() { debug.SetGCPercent(collectAt) }
+// The parts of a limit of memory: the collector starts early, and works harder near
+// softShare of the limit, as a process that passes it is ended.
+const (
+	collectLimitedAt = 100 // percent
+	softShare        = 0.7
+)
+
+// tuneCollector trades memory for shorter tails as far as the limit in MB allows.
+func tuneCollector(limitMB int) {
+	if limitMB == 0 {
+		debug.SetGCPercent(collectAt)
+		return
+	}
+	debug.SetGCPercent(collectLimitedAt)
+	debug.SetMemoryLimit(int64(float64(limitMB) * softShare * (1 << 20)))
+}
 
 // Main runs the program until a signal stops it and returns its exit code.
 func Main(argv []string, out, errOut io.Writer, faces Faces) int {
@@ -68,7 +81,7 @@
 		fmt.Fprintln(errOut, "notchd:", err)
 		return exitUsage
 	}
-	tuneCollector()
+	tuneCollector(s.MemoryMB)
 	app := fx.New(Module(s, faces, errOut))
 	if err := app.Start(ctx); err != nil {
 		fmt.Fprintln(errOut, "notchd:", dig.RootCause(err))
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -45,6 +45,7 @@
 	LinkKey       string   `arg:"--link-key,env:NOTCH_LINK_KEY" help:"key that all daemons share; without one every address must be on loopback" placeholder:"KEY"`
 	OperatorKey   string   `arg:"--operator-key,env:NOTCH_OPERATOR_KEY" help:"key that operators send; without one every address must be on loopback" placeholder:"KEY"`
 	AgentKey      string   `arg:"--agent-key,env:NOTCH_AGENT_KEY" help:"key that backend servers and workers send; empty: none is asked for" placeholder:"KEY"`
+	MemoryMB      int      `arg:"--memory-limit,env:NOTCH_MEMORY_LIMIT" help:"memory in MB above which the process would be ended; 0: none" placeholder:"MB"`
 	Lanes         int      `arg:"--lanes,env:NOTCH_LANES" default:"4" help:"goroutines that decide about requests; a pool belongs to one of them"`
 	DrainDelay    Duration `arg:"--drain-delay,env:NOTCH_DRAIN_DELAY" default:"3s" help:"time between becoming unready and closing the listener, for the balancer to notice" placeholder:"DURATION"`
 	StopTimeout   Duration `arg:"--stop-timeout,env:NOTCH_STOP_TIMEOUT" default:"60s" help:"most time that requests in flight get to end at a stop" placeholder:"DURATION"`
@@ -184,6 +185,9 @@
 	if s.JoinPort < 0 || s.JoinPort > maxPort {
 		fail("--join-port", s.JoinPort, "must be 0 to 65535")
 	}
+	if s.MemoryMB < 0 {
+		fail("--memory-limit", s.MemoryMB, "must not be negative")
+	}
 	if s.Lanes < 1 || s.Lanes > maxLanes {
 		fail("--lanes", s.Lanes, "must be 1 to 64")
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -11,10 +11,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	notch "tamaracknotch"
 	"tamaracknotch/wire"
@@ -25,15 +27,16 @@
 
 // The durations and sizes of links.
 const (
-	dialTimeout   = 2 * time.Second
-	writeTimeout  = 5 * time.Second
+	dialTimeout   = time.Second
+	writeTimeout  = 3 * time.Second
 	pingEvery     = 2 * time.Second
-	pingTimeout   = 3 * time.Second
+	pingTimeout   = 2 * time.Second
 	minBackoff    = 100 * time.Millisecond
-	maxBackoff    = 2 * time.Second
-	queueLength   = 8192      // messages that wait for one peer; more are dropped
-	maxMessage    = 256 << 20 // bytes
-	handshakeSize = 1 << 20   // bytes
+	maxBackoff    = time.Second
+	ackTimeout    = 1500 * time.Millisecond // a peer that acknowledges nothing for so long is gone
+	queueLength   = 8192                    // messages that wait for one peer; more are dropped
+	maxMessage    = 256 << 20               // bytes
+	handshakeSize = 1 << 20                 // bytes
 )
 
 // Post hands an event to the control loop. It never blocks.
@@ -60,6 +63,10 @@
 	address string
 	queue   chan notch.Message
 	stop    context.CancelFunc
+	kick    chan struct{} // ends the pause before the next dial
+
+	incarnation uint64             // of the daemon at the other end of the session
+	hangUp      context.CancelFunc // ends the session; nil without one
 }
 
 // Option adjusts a new Link.
@@ -131,7 +138,7 @@
 		return
 	}
 	ctx, stop := context.WithCancel(l.ctx)
-	p := &peer{address: d.Address, queue: make(chan notch.Message, queueLength), stop: stop}
+	p := &peer{address: d.Address, queue: make(chan notch.Message, queueLength), stop: stop, kick: make(chan struct{}, 1)}
 	l.dialled[d.Address] = p
 	if d.Name != "" {
 		l.peers[d.Name] = p
@@ -153,6 +160,8 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-p.kick:
+			wait = minBackoff
 		case <-time.After(wait):
 		}
 		wait = min(2*wait, maxBackoff)
@@ -171,7 +180,9 @@
 	name := theirs.Daemon.Name
 	l.mu.Lock()
 	l.peers[name] = p
+	p.incarnation, p.hangUp = theirs.Daemon.Incarnation, cancel
 	l.mu.Unlock()
+	defer l.over(p)
 	l.post(notch.PeerUp{Hello: theirs})
 	// Nothing is read on a dialled connection but pongs and the close.
 	ctx = conn.CloseRead(ctx)
@@ -179,10 +190,57 @@
 	return name
 }
 
+func (l *Link) over(p *peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.hangUp = nil
+}
+
+// calledBy notes that a daemon has just dialled this one. If the session to it was with
+// an earlier process, it is dead even if nothing has told so yet; if there is none, it
+// can stand now.
+func (l *Link) calledBy(d notch.Daemon) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[d.Name]
+	if p == nil {
+		return
+	}
+	if p.hangUp != nil && p.incarnation < d.Incarnation {
+		p.hangUp()
+	}
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// client dials with a bound on what stays unacknowledged: a host that has lost its
+// power says nothing.
+var client = &http.Client{Transport: &http.Transport{
+	DialContext: (&net.Dialer{
+		Timeout: dialTimeout, Control: boundAcks,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	}).DialContext,
+}}
+
+func boundAcks(_, _ string, c syscall.RawConn) error {
+	var err error
+	cerr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+	})
+	if cerr != nil {
+		return cerr
+	}
+	return err
+}
+
 func (l *Link) dial(ctx context.Context, address string) (*websocket.Conn, notch.Hello, error) {
 	dctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(dctx, "ws://"+address+Path, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
+	conn, _, err := websocket.Dial(dctx, "ws://"+address+Path, &websocket.DialOptions{
+		HTTPClient: client, CompressionMode: websocket.CompressionDisabled,
+	})
 	if err != nil {
 		return nil, notch.Hello{}, errors.Wrap(err, "dial")
 	}
@@ -253,6 +311,7 @@
 	conn.SetReadLimit(maxMessage)
 	// The other way is dialled from here, which is when the peer is up.
 	l.Connect(theirs.Daemon)
+	l.calledBy(theirs.Daemon)
 	for {
 		_, b, err := conn.Read(l.ctx)
 		if err != nil {
--- a/script/step.go
+++ b/script/step.go
@@ -60,7 +60,7 @@
 	notch.EntryReport{}, notch.EntryGrant{}, notch.Announcements{}, notch.Resend{}, notch.Goodbye{}, notch.TimeoutNow{},
 	notch.Noop{}, notch.Barrier{}, notch.EditTable{}, notch.ClaimRequest{}, notch.ReleaseClaim{}, notch.SubmitJob{},
 	notch.CancelJobs{}, notch.RegisterWorker{}, notch.PlaceTasks{}, notch.ReportTasks{}, notch.ReleaseWorker{},
-	notch.StopTasks{}, notch.QuarantineWorker{}, notch.ChangeReplicas{},
+	notch.StopTasks{}, notch.QuarantineWorker{}, notch.ChangeReplicas{}, notch.Proposal{},
 )
 
 func typesOf(values ...any) map[string]reflect.Type {
