Remove old log segments in order; keep the network out of the root package

The check that decisions stay pure was red since the faces came: the root package imported net. Change: segments go in order; the interface of faces stands in front.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,7 +30,7 @@
 	engine    *engine.Engine
 	link      *link.Link
 	journal   *wal.Journal
-	face      notch.Face
+	face      front.Face
 	callers   net.Listener // nil: callers aren't served
 	operators net.Listener // nil: operators aren't served
 	links     net.Listener
@@ -90,7 +90,7 @@
 }
 
 // Faces are the adapters that are built in, by name.
-type Faces map[string]func() notch.Face
+type Faces map[string]func() front.Face
 
 func (d *Daemon) listen() error {
 	for _, want := range []struct {
--- a/face.go
+++ b/system.go
@@ -1,9 +1,6 @@
 package notch
 
-import (
-	"context"
-	"net"
-)
+import "context"
 
 // System is what a front end asks of the daemon that it belongs to.
 type System interface {
@@ -29,13 +26,3 @@
 	Shutdown(ctx context.Context) error
 	Close() error
 }
-
-// Face is the protocol that a daemon speaks with callers, operators, the balancer and
-// agents. Each method begins to serve on a listener.
-type Face interface {
-	Callers(s System, l net.Listener) Server
-	Operators(s System, l net.Listener) Server
-	Health(s System, l net.Listener) Server
-	// Agents returns what carries orders to agents, or nil if none take orders.
-	Agents() Agents
-}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -285,7 +286,9 @@
 	if err := j.files.SyncFolder(); err != nil {
 		return j.fail(err, "sync data folder")
 	}
-	for seq, last := range j.lasts {
+	// In order, for a segment goes only once every older one has.
+	for _, seq := range slices.Sorted(maps.Keys(j.lasts)) {
+		last := j.lasts[seq]
 		if seq < j.seq && (s.Replace || last <= s.KeepFrom) && j.oldest(seq) {
 			if err := j.files.Remove(segmentName(seq)); err != nil {
 				return errors.Wrap(err, "remove old log")
