Tell heavy pairs of images from harmless ones; keep room by the agent's processors

Change: press keeps the chance that a pair is heavy, one core of which counts for 4.5; tasks that fill share the cores that serving tasks leave, a share cut when a tail is over its target and given back when calm; serving tasks are packed by image.

--- a/assign/place.go
+++ b/assign/place.go
@@ -1,20 +1,26 @@
 package assign
 
-import notch "tamaracknotch"
+import (
+	"slices"
+
+	notch "tamaracknotch"
+)
 
 // Roomiest spreads: it takes the agent on which the task leaves the largest share
 // of the processors and the memory unreserved. Tasks that serve are packed instead,
 // so that some agents are left without them; tasks that fill go where most
 // processors are unused and where they disturb least.
 type Roomiest struct {
-	Harm notch.PairHarm
+	Interplay notch.Interplay
 }
 
 // The weights of a place, in shares of an agent.
 const (
-	riskWeight  = 2.0  // of the risk that a task that fills disturbs one that serves
 	idleServing = 0.45 // of what tasks that serve reserve, that they leave unused
 	wrongRack   = 1.0  // of a place away from the task's data
+	roomWeight  = 0.7  // of the share of the room that is left to tasks that fill
+	sameImage   = 1.0  // of a place beside tasks that serve, of the same image
+	otherImage  = 0.7  // of each other image that serves there, against it
 )
 
 // Place implements [notch.RunPlacer].
@@ -28,47 +34,70 @@
 		if !ok || !r.Stage.Reserved().Fits(v.Free) {
 			continue
 		}
-		if score := p.score(r.Stage, v); best < 0 || score > most {
+		score, ok := p.score(r.Stage, v)
+		if ok && (best < 0 || score > most) {
 			best, most = i, score
 		}
 	}
 	return best
 }
 
-// score rates a place by what is left of the agent once the task runs there.
-func (p Roomiest) score(st notch.Stage, v notch.AgentView) float64 {
+// score rates a place by what is left of the agent once the task runs there, if it may.
+func (p Roomiest) score(st notch.Stage, v notch.AgentView) (float64, bool) {
 	left := v.Free.Minus(st.Reserved())
 	whole := float64(max(1, v.Agent.Size.MilliCPU))
-	cpu := float64(left.MilliCPU) / whole
+	score := float64(left.MilliCPU) / whole
 	memory := float64(left.MemoryMB) / float64(max(1, v.Agent.Size.MemoryMB))
-	score := min(cpu, memory)
+	score = min(score, memory)
 	switch {
 	case st.Fills:
-		unused := float64(left.MilliCPU-v.Filling) + idleServing*float64(v.Serving)
-		score = min(unused/whole, memory) - riskWeight*p.risk(st, v)
+		left, any := p.roomWith(v, notch.Load{Image: st.Image, Cores: float64(st.Size.MilliCPU) / 1000})
+		if any && left < 0 {
+			return 0, false
+		}
+		unused := float64(v.Free.MilliCPU-v.Filling-st.Size.MilliCPU) + idleServing*float64(v.Serving)
+		score = min(unused/whole, memory)
+		if any {
+			score += roomWeight * (left - 1)
+		}
 	case st.Target > 0:
-		score = -score - riskWeight*p.risk(st, v)
+		score = company(st.Image, v.Served) - score
 	}
 	if st.Rack != "" && st.Rack != v.Agent.Rack {
 		score -= wrongRack
 	}
+	return score, true
+}
+
+// company rates the tasks that serve on an agent as neighbours of one more. Those of
+// one image suffer from the same images that fill, so that others may go there.
+func company(image string, served []string) float64 {
+	score := 0.0
+	for i, o := range served {
+		switch {
+		case slices.Contains(served[:i], o):
+		case o == image:
+			score += sameImage
+		default:
+			score -= otherImage
+		}
+	}
 	return score
 }
 
-// risk estimates the chance that the task and those on the agent disturb each other.
-func (p Roomiest) risk(st notch.Stage, v notch.AgentView) float64 {
-	spared := 1.0
+// roomWith returns the share of the room for tasks that fill that is left with one more
+// load, by the task that serves there and suffers most.
+func (p Roomiest) roomWith(v notch.AgentView, more notch.Load) (left float64, any bool) {
 	for _, image := range v.Served {
-		if st.Fills {
-			spared *= 1 - p.Harm.Risk(image, st.Image)
+		taken := p.Interplay.Weight(image, more.Image) * more.Cores
+		for _, l := range v.Filled {
+			taken += p.Interplay.Weight(image, l.Image) * l.Cores
 		}
-	}
-	for _, image := range v.Filled {
-		if st.Target > 0 {
-			spared *= 1 - p.Harm.Risk(st.Image, image)
+		if share := 1 - taken/max(1, v.Room); !any || share < left {
+			left, any = share, true
 		}
 	}
-	return 1 - spared
+	return left, any
 }
 
 // FirstFit takes the first agent that has room.
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -49,21 +49,21 @@
 
 // Policy gathers the behaviour that varies.
 type Policy struct {
-	Order  notch.FlowOrder
-	Placer func(notch.PairHarm) notch.RunPlacer
-	Harm   notch.PairHarm // before any look
+	Order     notch.FlowOrder
+	Placer    func(notch.Interplay) notch.RunPlacer
+	Interplay notch.Interplay // before any look
 }
 
 // DefaultPolicy is the one that measured best; see docs/PLATFORM.md.
 func DefaultPolicy() Policy {
-	placer := func(h notch.PairHarm) notch.RunPlacer { return assign.Roomiest{Harm: h} }
-	return Policy{Order: assign.BySlack{}, Placer: placer, Harm: press.New()}
+	placer := func(in notch.Interplay) notch.RunPlacer { return assign.Roomiest{Interplay: in} }
+	return Policy{Order: assign.BySlack{}, Placer: placer, Interplay: press.New()}
 }
 
 // NaivePolicy is the baseline: first come, first fit.
 func NaivePolicy() Policy {
-	placer := func(notch.PairHarm) notch.RunPlacer { return assign.FirstFit{} }
-	return Policy{Order: assign.FIFO{}, Placer: placer, Harm: press.None{}}
+	placer := func(notch.Interplay) notch.RunPlacer { return assign.FirstFit{} }
+	return Policy{Order: assign.FIFO{}, Placer: placer, Interplay: press.None{}}
 }
 
 // Part is the state of jobs made of stages and of agents on one replica.
@@ -86,16 +86,17 @@
 	fills *immutable.Map[string, int64]            // milli-cpu declared by tasks that fill, on an agent
 
 	// Of the leader alone:
-	leading  notch.Leadership
-	fenced   uint64 // term in which an agent told of a later leader
-	contacts *immutable.SortedMap[string, contact]
-	starts   *immutable.Map[notch.RunRef, start]
-	paces    *immutable.Map[notch.RunRef, pace]
-	over     *immutable.Map[notch.RunRef, notch.Time] // tails over their targets, since when
-	harm     notch.PairHarm
-	placing  notch.Time // when placements were proposed that aren't committed yet; zero: none
-	planned  notch.Time
-	dirty    bool // something changed that a plan depends on
+	leading   notch.Leadership
+	fenced    uint64 // term in which an agent told of a later leader
+	contacts  *immutable.SortedMap[string, contact]
+	starts    *immutable.Map[notch.RunRef, start]
+	paces     *immutable.Map[notch.RunRef, pace]
+	over      *immutable.Map[notch.RunRef, notch.Time] // tails over their targets, since when
+	mixes     *immutable.Map[string, mix]              // by agent
+	interplay notch.Interplay
+	placing   notch.Time // when placements were proposed that aren't committed yet; zero: none
+	planned   notch.Time
+	dirty     bool // something changed that a plan depends on
 }
 
 // Option adjusts a new Part.
@@ -132,8 +133,9 @@
 	p.contacts = immutable.NewSortedMap[string, contact](nil)
 	p.starts = immutable.NewMap[notch.RunRef, start](runRefs{})
 	p.paces = immutable.NewMap[notch.RunRef, pace](runRefs{})
+	p.mixes = immutable.NewMap[string, mix](nil)
 	p.over = immutable.NewMap[notch.RunRef, notch.Time](runRefs{})
-	p.harm = p.policy.Harm
+	p.interplay = p.policy.Interplay
 	p.placing, p.planned = 0, 0
 	return p
 }
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -93,7 +93,7 @@
 // assign chooses an agent for each task that fits somewhere.
 func (s *stepper) assign(tasks []ready) []notch.RunPlacement {
 	pools := map[string]*views{}
-	placer := s.policy.Placer(s.harm)
+	placer := s.policy.Placer(s.interplay)
 	full := map[notch.TaskRef]bool{} // stages of which a task fitted nowhere
 	var out []notch.RunPlacement
 	for i, t := range tasks {
--- a/flow/views.go
+++ b/flow/views.go
@@ -46,6 +46,7 @@
 			view = withTask(view, j.Stage(ref.Task.Stage))
 		}
 	}
+	view.Room = s.roomOf(a, cores(view.Serving))
 	return view
 }
 
@@ -53,7 +54,7 @@
 func withTask(v notch.AgentView, st notch.Stage) notch.AgentView {
 	switch {
 	case st.Fills:
-		v.Filled = append(slices.Clip(v.Filled), st.Image)
+		v.Filled = append(slices.Clip(v.Filled), notch.Load{Image: st.Image, Cores: cores(st.Size.MilliCPU)})
 	case st.Target > 0:
 		v.Serving += st.Size.MilliCPU
 		v.Served = append(slices.Clip(v.Served), st.Image)
@@ -61,6 +62,8 @@
 	return v
 }
 
+func cores(milli int64) float64 { return float64(milli) / 1000 }
+
 // ask sets what the next calls are about.
 func (v *views) ask(stage notch.TaskRef, st notch.Stage) {
 	v.asked, v.stage = stage, st
--- a/policy.go
+++ b/policy.go
@@ -170,7 +170,8 @@
 	Filling int64     // milli-cpu declared by the tasks that fill
 	Serving int64     // milli-cpu reserved by the tasks that serve users of their own
 	Served  []string  // images of the tasks that serve
-	Filled  []string  // images of the tasks that fill
+	Filled  []Load    // of the tasks that fill, as declared
+	Room    float64   // cores that tasks that fill can use before any tail suffers
 	Same    int       // runs of the same stage and round
 }
 
@@ -187,18 +188,32 @@
 	Place(r RunRequest, as AgentViews, seed uint64) int
 }
 
-// Tail is one task that serves, in a look at its agent.
+// Load is what the tasks of one image that fill an agent use, or would at full pace.
+type Load struct {
+	Image string
+	Cores float64
+}
+
+// Tail is a task that serves, in a look at its agent.
 type Tail struct {
 	Image string
 	Over  bool // its tail has just come over its target; if not, it is under it
 }
 
-// PairHarm is what is known of the harm that tasks that fill do to tasks that serve
-// beside them, by pairs of images. It is immutable.
-type PairHarm interface {
-	// WithLook returns it with one look at an agent, given the images that filled.
-	WithLook(tails []Tail, filling []string) PairHarm
-	// Risk estimates the chance, 0 to 1, that a task that fills brings one that
-	// serves beside it over its target.
-	Risk(serving, filling string) float64
+// Look is what was seen of an agent on which tasks fill beside tasks that serve.
+type Look struct {
+	Tails  []Tail
+	Loads  []Load
+	Room   float64 // cores that tasks that fill can use before any tail suffers
+	Steady bool    // the loads were about the same at the look before
+}
+
+// Interplay is what is known of the harm that tasks that fill do to tasks that serve
+// beside them, by images. Values are immutable.
+type Interplay interface {
+	// WithLook returns it with one more look.
+	WithLook(l Look) Interplay
+	// Weight returns how many cores of a harmless image one core of a load counts for,
+	// beside a task that serves.
+	Weight(serving, filling string) float64
 }
--- a/press/press.go
+++ b/press/press.go
@@ -3,28 +3,105 @@
 package press
 
 import (
-	"slices"
-
 	"github.com/benbjohnson/immutable"
 
 	notch "tamaracknotch"
 )
 
+// Pairs holds that an image that fills is either harmless to one that serves, so that
+// only the processors it uses count, or heavy, so that each core counts for several. It
+// keeps the chance that a pair is heavy.
+type Pairs struct {
+	heavy *immutable.Map[pair, float64]
+}
+
+type pair struct{ serving, filling string }
+
 // The parameters of the estimate.
 const (
-	prior = 0.08 // risk of a pair that was never seen
-	leak  = 0.03 // chance that a tail is over its target for no cause on the agent
-	rate  = 0.25 // weight of one look when a tail came over its target
-	calm  = 0.03 // weight of one look when it didn't
+	heavyWeight = 4.5  // cores that one core of a heavy pair counts for
+	prior       = 0.4  // chance that a pair is heavy, before any look
+	surest      = 0.97 // most and one less least that a chance may be
+	blameRate   = 0.45 // by which a chance follows the blame for a tail over its target
+	calmRate    = 0.30 // by which it falls when a load that would have shown it didn't
+	telling     = 0.6  // of the room, from which a heavy load would have shown itself
+	leak        = 0.04 // chance that a tail came over its target for another cause
 )
 
-// Noisy holds that each image that fills brings a tail over its target by itself, with
-// a chance of its own (a noisy or), and divides the blame of a look by these chances.
-type Noisy struct {
-	risks *immutable.Map[pair, float64]
+// New returns a Pairs that has seen nothing.
+func New() Pairs { return Pairs{heavy: immutable.NewMap[pair, float64](pairs{})} }
+
+func (n Pairs) chance(p pair) float64 {
+	if c, ok := n.heavy.Get(p); ok {
+		return c
+	}
+	return prior
 }
 
-type pair struct{ serving, filling string }
+// Weight implements [notch.Interplay].
+func (n Pairs) Weight(serving, filling string) float64 {
+	return 1 + (heavyWeight-1)*n.chance(pair{serving, filling})
+}
+
+// WithLook implements [notch.Interplay].
+func (n Pairs) WithLook(l notch.Look) notch.Interplay {
+	total := 0.0
+	for _, load := range l.Loads {
+		total += load.Cores
+	}
+	for _, t := range l.Tails {
+		switch {
+		case t.Over && total < l.Room:
+			n = n.blame(t.Image, l)
+		case !t.Over && l.Steady:
+			n = n.clear(t.Image, l)
+		}
+	}
+	return n
+}
+
+// shown is the share of the room that a load takes if it is heavy.
+func shown(load notch.Load, l notch.Look) float64 {
+	return heavyWeight * load.Cores / max(1, l.Room)
+}
+
+// blame divides the cause of a tail over its target between the loads, each of which
+// may have been it alone.
+func (n Pairs) blame(serving string, l notch.Look) Pairs {
+	spared := 1 - leak
+	for _, load := range l.Loads {
+		spared *= 1 - n.cause(serving, load, l)
+	}
+	if spared >= 1 {
+		return n
+	}
+	heavy := n.heavy
+	for _, load := range l.Loads {
+		p := pair{serving, load.Image}
+		part := n.cause(serving, load, l) / (1 - spared)
+		if old := n.chance(p); part > old {
+			heavy = heavy.Set(p, min(surest, old+blameRate*(part-old)))
+		}
+	}
+	return Pairs{heavy: heavy}
+}
+
+// cause is the chance that a load brings a tail over its target by itself.
+func (n Pairs) cause(serving string, load notch.Load, l notch.Look) float64 {
+	return n.chance(pair{serving, load.Image}) * min(1, shown(load, l))
+}
+
+// clear takes note that no load has brought a tail over its target.
+func (n Pairs) clear(serving string, l notch.Look) Pairs {
+	heavy := n.heavy
+	for _, load := range l.Loads {
+		if share := shown(load, l); share >= telling {
+			p := pair{serving, load.Image}
+			heavy = heavy.Set(p, max(1-surest, n.chance(p)*(1-calmRate*min(1, share))))
+		}
+	}
+	return Pairs{heavy: heavy}
+}
 
 type pairs struct{}
 
@@ -43,48 +120,11 @@
 // Equal implements immutable.Hasher.
 func (pairs) Equal(a, b pair) bool { return a == b }
 
-// New returns a Noisy that has seen nothing.
-func New() Noisy { return Noisy{risks: immutable.NewMap[pair, float64](pairs{})} }
-
-// Risk implements [notch.PairHarm].
-func (n Noisy) Risk(serving, filling string) float64 {
-	if r, ok := n.risks.Get(pair{serving, filling}); ok {
-		return r
-	}
-	return prior
-}
-
-// WithLook implements [notch.PairHarm].
-func (n Noisy) WithLook(tails []notch.Tail, filling []string) notch.PairHarm {
-	filling = slices.Compact(slices.Sorted(slices.Values(filling)))
-	for _, t := range tails {
-		n = n.withTail(t, filling)
-	}
-	return n
-}
-
-func (n Noisy) withTail(t notch.Tail, filling []string) Noisy {
-	spared := 1 - leak
-	for _, f := range filling {
-		spared *= 1 - n.Risk(t.Image, f)
-	}
-	risks := n.risks
-	for _, f := range filling {
-		old := n.Risk(t.Image, f)
-		next := old * (1 - calm)
-		if t.Over {
-			next = old + rate*(old/(1-spared)-old)
-		}
-		risks = risks.Set(pair{t.Image, f}, next)
-	}
-	return Noisy{risks: risks}
-}
-
 // None knows of no harm: the baseline.
 type None struct{}
 
-// WithLook implements [notch.PairHarm].
-func (None) WithLook([]notch.Tail, []string) notch.PairHarm { return None{} }
+// WithLook implements [notch.Interplay].
+func (None) WithLook(notch.Look) notch.Interplay { return None{} }
 
-// Risk implements [notch.PairHarm].
-func (None) Risk(string, string) float64 { return 0 }
+// Weight implements [notch.Interplay].
+func (None) Weight(string, string) float64 { return 1 }
