Survive a hang-up; let the lease of a silent agent run out

The exits had code 129: nothing handled SIGHUP, by which changed settings are told (replace_core sends it to all). The lost tasks: seven agents crashed at 18.3 s and their runs were never given up, as each unanswered hold granted a later deadline. Logs go to standard output.

--- /dev/null
+++ b/daemon/hangup_test.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+)
+
+// lines is a log that a test waits on.
+type lines struct {
+	mu   sync.Mutex
+	cond *sync.Cond
+	text bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer l.cond.Broadcast()
+	return l.text.Write(b)
+}
+
+// await blocks until the log holds text.
+func (l *lines) await(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !strings.Contains(l.text.String(), text) {
+		l.cond.Wait()
+	}
+}
+
+// TestHangUp checks that a hang-up, by which some platforms tell of changed settings,
+// doesn't end the daemon.
+func TestHangUp(t *testing.T) {
+	out := &lines{}
+	out.cond = sync.NewCond(&out.mu)
+	ctx, cancel := context.WithCancel(context.Background())
+	code := make(chan int)
+	go func() {
+		code <- Run(ctx, []string{
+			"--name", "a", "--failure-domain", "north", "--listen", "127.0.0.1:0", "--operators", "127.0.0.1:0",
+			"--link", "127.0.0.1:0", "--drain-delay", "0s", "--lanes", "1",
+		}, out, io.Discard, nil)
+	}()
+	out.await("serving")
+	if err := syscall.Kill(syscall.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	out.await("settings may have changed")
+	cancel()
+	if got, want := <-code, exitOK; got != want {
+		t.Errorf("got exit code %d, want %d", got, want)
+	}
+}
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"go.uber.org/dig"
 	"go.uber.org/fx"
 )
@@ -61,6 +62,19 @@
 	return Run(ctx, argv, out, errOut, faces)
 }
 
+// waitForStop waits for the end of ctx. A hang-up says that settings have changed;
+// they are read at a start only, so that nothing in flight is disturbed.
+func waitForStop(ctx context.Context, hup <-chan os.Signal, log *logrus.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			log.Info("settings may have changed; they are read at the next start")
+		}
+	}
+}
+
 // Run runs the program until ctx ends and returns its exit code.
 func Run(ctx context.Context, argv []string, out, errOut io.Writer, faces Faces) int {
 	var s Settings
@@ -81,13 +95,17 @@
 		fmt.Fprintln(errOut, "notchd:", err)
 		return exitUsage
 	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	tuneCollector(s.MemoryMB)
-	app := fx.New(Module(s, faces, errOut))
+	var log *logrus.Logger
+	app := fx.New(Module(s, faces, out), fx.Populate(&log))
 	if err := app.Start(ctx); err != nil {
 		fmt.Fprintln(errOut, "notchd:", dig.RootCause(err))
 		return exitFailed
 	}
-	<-ctx.Done()
+	waitForStop(ctx, hup, log)
 	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(stop); err != nil {
--- a/flow/contact.go
+++ b/flow/contact.go
@@ -139,8 +139,13 @@
 	if !ok || !known || c.asked != 0 || !s.acts() {
 		return
 	}
-	o := notch.AgentOrder{Kind: notch.AgentHold, Token: s.leading.Term, Ack: c.acked, Deadline: c.book.Deadline(s.now, s.timing.Lease)}
-	if c.heard != 0 && c.listed == c.acked {
+	o := notch.AgentOrder{Kind: notch.AgentHold, Token: s.leading.Term, Ack: c.acked}
+	if c.silent == 0 {
+		// Calls that aren't answered may be carried out late: repeating the grant would
+		// keep the lease of an agent that is gone from ever being over.
+		o.Deadline = c.book.Deadline(s.now, s.timing.Lease)
+	}
+	if c.heard != 0 && c.silent == 0 && c.listed == c.acked {
 		o.Wait = s.timing.Wait
 	}
 	c.book = c.book.WithGrant(o.Deadline)
