Follow jobs made of stages by a naive account in random runs; fence each life

Change: fake holds a stand-in for agents and the account; each life that a leader meets gets a higher token; a run of a former life ends with the first lists of the next.

--- a/fake/fake.go
+++ b/fake/fake.go
@@ -13,6 +13,7 @@
 	"tamaracknotch/claim"
 	"tamaracknotch/consensus"
 	"tamaracknotch/drive"
+	"tamaracknotch/flow"
 	"tamaracknotch/gateway"
 	"tamaracknotch/member"
 	"tamaracknotch/share"
@@ -26,6 +27,8 @@
 	Batch     batch.Policy
 	Divider   notch.Divider
 	Consensus consensus.Limits
+	Flow      flow.Timing
+	Replicas  int // voters that the leader chooses; 0: the pool control lists them
 }
 
 // DefaultPolicies returns those of a daemon without settings.
@@ -33,6 +36,7 @@
 	return Policies{
 		Traffic: traffic.DefaultPolicy(), Batch: batch.DefaultPolicy(),
 		Divider: share.ByDemand{Floor: share.DefaultFloor}, Consensus: consensus.DefaultLimits,
+		Flow: flow.DefaultTiming,
 	}
 }
 
@@ -42,6 +46,7 @@
 	Policies Policies
 	Backends map[string]*Backend
 	Workers  map[string]*Worker
+	Agents   map[string]*Agent
 	Counters map[string]int64
 	Notices  []string
 	// OnPublish sees each task whose results are published.
@@ -51,6 +56,7 @@
 	// Violations lists the promises that were seen broken.
 	Violations []string
 
+	account  *account
 	tickets  uint64
 	calls    map[uint64]func(notch.Effect)
 	requests map[requestKey]*exchange
@@ -64,7 +70,7 @@
 func New(seed uint64) *Site {
 	s := &Site{
 		World: drive.New(seed), Policies: DefaultPolicies(),
-		Backends: map[string]*Backend{}, Workers: map[string]*Worker{}, Counters: map[string]int64{},
+		Backends: map[string]*Backend{}, Workers: map[string]*Worker{}, Agents: map[string]*Agent{}, account: newAccount(), Counters: map[string]int64{},
 		calls: map[uint64]func(notch.Effect){}, requests: map[requestKey]*exchange{},
 		running: map[notch.TaskID]string{}, finished: map[notch.TaskID]int{}, died: map[string]bool{},
 	}
@@ -91,10 +97,11 @@
 	parts := []notch.Part{member.New(self, storage, 0), gateway.New(self.Name)}
 	if self.Replica {
 		replica := notch.Replica{Name: self.Name, Storage: storage}
-		parts = append(parts, consensus.New(replica, consensus.WithLimits(s.Policies.Consensus)))
+		parts = append(parts, consensus.New(replica, consensus.WithLimits(s.Policies.Consensus), consensus.WithSize(s.Policies.Replicas)))
 	}
 	parts = append(parts, table.New(), claim.New(), batch.New(batch.WithPolicy(s.Policies.Batch)))
 	if self.Replica {
+		parts = append(parts, flow.New(self, flow.WithTiming(s.Policies.Flow)))
 		parts = append(parts, share.NewLeader(self.Name, share.WithDivider(s.Policies.Divider)))
 	}
 	parts = append(parts, share.NewEntry(self, 1))
@@ -114,6 +121,9 @@
 		s.answered(f.Ticket, f)
 	case notch.AnswerQuery:
 		s.answered(f.Ticket, f)
+	case notch.CallAgent:
+		s.callAgent(n, f)
+	case notch.AnswerAgent:
 	case notch.Dispatch:
 		s.dispatched(n, f)
 	case notch.Refuse:
--- a/fake/random_test.go
+++ b/fake/random_test.go
@@ -176,8 +176,8 @@
 	}
 }
 
-// settle ends all failures and compares the ends.
-func (c *control) settle() {
+// mend ends all failures of daemons and links.
+func (c *control) mend() {
 	c.Heal()
 	c.Net.Loss, c.Net.Duplicate = 0, 0
 	for _, n := range c.Nodes() {
@@ -189,6 +189,11 @@
 		}
 	}
 	c.Run(15 * time.Second)
+}
+
+// settle ends all failures and compares the ends.
+func (c *control) settle() {
+	c.mend()
 	// A last edit shows that the cluster takes edits again.
 	n := c.replicas[0]
 	e := &editRecord{id: "last", base: c.Tables(n).RoutesVersion, content: "/last", begun: c.Now()}
--- a/flow/colocate.go
+++ b/flow/colocate.go
@@ -234,7 +234,8 @@
 		return
 	}
 	s.paces = s.paces.Set(ref, pace{percent: percent, since: s.now})
-	s.call(a, notch.AgentOrder{Kind: notch.AgentPace, Token: s.leading.Term, Run: ref, Percent: percent})
+	c, _ := s.contacts.Get(a.ID)
+	s.call(a, notch.AgentOrder{Kind: notch.AgentPace, Token: c.token, Run: ref, Percent: percent})
 }
 
 // stageIs returns the stage of a run that isn't known to have ended, or a zero one.
--- a/flow/contact.go
+++ b/flow/contact.go
@@ -14,6 +14,7 @@
 // contact is what the leader knows of one life of an agent from talking to it.
 type contact struct {
 	life   notch.Life
+	token  uint64 // of every order to this life
 	book   lease.Book
 	asked  notch.Time // when the hold that isn't answered yet was sent; zero: none
 	heard  notch.Time // when the last hold was answered; zero: none was
@@ -110,7 +111,7 @@
 	for it := s.agents.Iterator(); !it.Done(); {
 		_, a, _ := it.Next()
 		if runs, _ := s.runs.Get(a.ID); !a.Left || len(runs) > 0 {
-			s.contacts = s.contacts.Set(a.ID, contact{life: a.Life(), book: lease.New(floor)})
+			s.contacts = s.contacts.Set(a.ID, contact{life: a.Life(), token: s.token(), book: lease.New(floor)})
 			s.hold(a.ID)
 		}
 	}
@@ -122,13 +123,21 @@
 	return at.Add(time.Duration(float64(s.timing.Lease)*(1+lease.Drift)) + formerLeases)
 }
 
+// lifeBits is the size of the part of a token that counts the lives met in one term.
+const lifeBits = 20
+
+// token returns the one for a life that is met now. It is higher than that of every
+// life before: orders that were meant for one of those, acknowledgements among them,
+// may arrive late at a life of the same id.
+func (s *stepper) token() uint64 { return s.leading.Term<<lifeBits | s.lives }
+
 // meet begins to talk to a new life.
 func (s *stepper) meet(a notch.Agent, now notch.Time) {
 	if !s.acts() {
 		return
 	}
-	// A start meant for a former life may take effect in this one.
-	s.contacts = s.contacts.Set(a.ID, contact{life: a.Life(), book: lease.New(s.floor(now))})
+	s.lives++
+	s.contacts = s.contacts.Set(a.ID, contact{life: a.Life(), token: s.token(), book: lease.New(s.floor(now))})
 	s.hold(a.ID)
 }
 
@@ -139,7 +148,7 @@
 	if !ok || !known || c.asked != 0 || !s.acts() {
 		return
 	}
-	o := notch.AgentOrder{Kind: notch.AgentHold, Token: s.leading.Term, Ack: c.acked}
+	o := notch.AgentOrder{Kind: notch.AgentHold, Token: c.token, Ack: c.acked}
 	if c.silent == 0 {
 		// Calls that aren't answered may be carried out late: repeating the grant would
 		// keep the lease of an agent that is gone from ever being over.
@@ -166,7 +175,7 @@
 		return
 	}
 	o := notch.AgentOrder{
-		Kind: notch.AgentStart, Token: r.Token, Run: ref, Spec: spec, Checkpoint: saved,
+		Kind: notch.AgentStart, Token: c.token, Run: ref, Spec: spec, Checkpoint: saved,
 		Deadline: c.book.Deadline(s.now, s.timing.Lease),
 	}
 	c.book = c.book.WithGrant(o.Deadline)
@@ -183,19 +192,20 @@
 	}
 	st.stopSent = s.now
 	s.starts = s.starts.Set(ref, st)
-	s.call(a, notch.AgentOrder{Kind: notch.AgentStop, Token: s.leading.Term, Run: ref})
+	c, _ := s.contacts.Get(a.ID)
+	s.call(a, notch.AgentOrder{Kind: notch.AgentStop, Token: c.token, Run: ref})
 }
 
 // answered takes an agent's answer to an order of this lead.
 func (s *stepper) answered(b notch.AgentAnswered) {
-	if !s.leading.Leading || b.Order.Token != s.leading.Term {
+	if !s.leading.Leading || b.Order.Token>>lifeBits != s.leading.Term {
 		return
 	}
-	if b.Answer.Kind == notch.AgentRefused && b.Answer.Reason == notch.ReasonFence {
+	c, ok := s.contacts.Get(b.Life.Agent)
+	if b.Answer.Kind == notch.AgentRefused && b.Answer.Reason == notch.ReasonFence && b.Order.Token == c.token {
 		s.deposed(b)
 		return
 	}
-	c, ok := s.contacts.Get(b.Life.Agent)
 	if ok && c.life == b.Life && b.Answer.Clock != 0 && (b.Answer.Born == 0 || b.Answer.Born == c.life.Born) {
 		c.book = c.book.WithClock(b.Answer.Clock, s.now)
 		s.contacts = s.contacts.Set(b.Life.Agent, c)
@@ -339,12 +349,13 @@
 		// The agent has seen this leader's token: an older start can't take effect.
 		return notch.RunNever, true
 	}
+	if r.Life != c.life {
+		return notch.RunLost, true // likewise, by the token of the new life
+	}
 	st, _ := s.starts.Get(ref)
 	switch {
 	case st.outcome == notch.AgentOK && !asked.Before(st.done):
 		return notch.RunLost, true
-	case st.outcome == notch.AgentOK && r.Life != c.life:
-		return notch.RunLost, true
 	case st.outcome != notch.AgentSilent:
 		return "", false // not answered yet, or about to be given up
 	case st.stopped != 0 && !asked.Before(st.stopped):
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -87,6 +87,7 @@
 
 	// Of the leader alone:
 	leading   notch.Leadership
+	lives     uint64 // met in this term
 	fenced    uint64 // term in which an agent told of a later leader
 	contacts  *immutable.SortedMap[string, contact]
 	starts    *immutable.Map[notch.RunRef, start]
@@ -136,7 +137,7 @@
 	p.mixes = immutable.NewMap[string, mix](nil)
 	p.over = immutable.NewMap[notch.RunRef, notch.Time](runRefs{})
 	p.interplay = p.policy.Interplay
-	p.placing, p.planned = 0, 0
+	p.placing, p.planned, p.lives = 0, 0, 0
 	return p
 }
 
