Leave no room beside a tail that stays over its target

Change: a tail far over cuts the room to a quarter at once, one that stays over for 0.7 s leaves none.

--- a/flow/colocate.go
+++ b/flow/colocate.go
@@ -11,27 +11,29 @@
 
 // The control of tasks that fill beside tasks that serve.
 const (
-	servingUse = 0.55            // of what tasks that serve reserve, that they use near their peaks
-	overFrom   = 0.9             // of the target, from which a tail counts as over it
-	calmBelow  = 0.65            // of the target, below which the room may grow again
-	cutRoom    = 0.5             // what is left of the room when a tail is over its target
-	growRoom   = 0.15            // of the room, given back at a calm look
-	leastRoom  = 0.1             // of the room
-	mostRoom   = 1.2             // of the room
-	paceFull   = 100             // percent of a task that fills
-	paceLeast  = 30              // percent below which it stands still
-	paceChange = 20              // percent below which a change isn't worth an order
-	stuck      = 2 * time.Second // at a stand, before a task is moved
-	cheap      = 25              // percent of progress that may be lost by a move
-	similar    = 0.35            // of the loads, up to which a change leaves them steady
-	leastLoad  = 4.0             // cores, below which loads are compared as if there were so many
+	servingUse = 0.55                   // of what tasks that serve reserve, that they use near their peaks
+	overFrom   = 0.9                    // of the target, from which a tail counts as over it
+	calmBelow  = 0.65                   // of the target, below which the room may grow again
+	cutRoom    = 0.5                    // what is left of the room when a tail comes over its target
+	farOver    = 1.5                    // of the target, from which a tail leaves less
+	cutMore    = 0.25                   // what is left of the room then
+	overLong   = 700 * time.Millisecond // over the target, after which no room is left
+	growRoom   = 0.15                   // of the room, given back at a calm look
+	mostRoom   = 1.2                    // of the room
+	paceFull   = 100                    // percent of a task that fills
+	paceLeast  = 30                     // percent below which it stands still
+	paceChange = 20                     // percent below which a change isn't worth an order
+	stuck      = 2 * time.Second        // at a stand, before a task is moved
+	cheap      = 25                     // percent of progress that may be lost by a move
+	similar    = 0.35                   // of the loads, up to which a change leaves them steady
+	leastLoad  = 4.0                    // cores, below which loads are compared as if there were so many
 )
 
 // mix is what is known of the tasks that fill an agent from the looks at it.
 type mix struct {
 	loads []notch.Load // at the last look
 	share float64      // of the room that they may use, by what the tails showed
-	cut   notch.Time   // when the share was last cut
+	over  notch.Time   // since when a tail is over its target; zero: none is
 }
 
 // pace is how fast a task that fills may go, and since when.
@@ -57,7 +59,7 @@
 		return
 	}
 	m := s.mixOf(a.ID)
-	l.Room, l.Steady = s.roomOf(a, l.serving)/m.share, steady(m.loads, l.Loads)
+	l.Room, l.Steady = wholeRoom(a, l.serving), steady(m.loads, l.Loads)
 	s.interplay = s.interplay.WithLook(l.Look)
 	s.mixes = s.mixes.Set(a.ID, m.after(l, s.now))
 	want := s.paced(l, s.roomOf(a, l.serving))
@@ -73,15 +75,23 @@
 	return mix{share: 1}
 }
 
-// after returns m after a look. A tail falls slowly, so that the room isn't cut again
-// at once.
+// after returns m after a look. A tail that stays over its target leaves no room, for it
+// must not stay there for long by what fills beside it.
 func (m mix) after(l look, now notch.Time) mix {
 	m.loads = l.Loads
 	switch {
-	case l.worst >= overFrom && now.Sub(m.cut) >= time.Second && len(l.Loads) > 0:
-		m.share, m.cut = max(leastRoom, m.share*cutRoom), now
-	case l.worst < calmBelow:
-		m.share = min(mostRoom, m.share+growRoom)
+	case l.worst >= overFrom && m.over == 0:
+		m.over = now
+		if m.share *= cutRoom; l.worst >= farOver {
+			m.share *= cutMore / cutRoom
+		}
+	case l.worst >= overFrom && now.Sub(m.over) >= overLong:
+		m.share = 0
+	case l.worst < overFrom:
+		m.over = 0
+		if l.worst < calmBelow {
+			m.share = min(mostRoom, m.share+growRoom)
+		}
 	}
 	return m
 }
@@ -89,7 +99,12 @@
 // roomOf returns the cores that tasks that fill an agent can use before any tail
 // suffers, if none of them is heavy.
 func (s *stepper) roomOf(a notch.Agent, serving float64) float64 {
-	return s.mixOf(a.ID).share * max(1, cores(a.Size.MilliCPU)-servingUse*serving)
+	return s.mixOf(a.ID).share * wholeRoom(a, serving)
+}
+
+// wholeRoom is the room that a calm agent has.
+func wholeRoom(a notch.Agent, serving float64) float64 {
+	return max(1, cores(a.Size.MilliCPU)-servingUse*serving)
 }
 
 // look sorts the runs of an agent, and notes which tails came over their targets.
