Catch a replica up with one probe at a time

The third had lost its disk eight seconds before and was stuck at entry 695 of 1560: every message that was under way when it came back was rejected, and each rejection was answered with all 746 entries again. Ruled out: links (they stood), split votes (the two others granted each other's). Change: after a rejection one probe is sent, earlier rejections say nothing, and heartbeats carry no entries until it is confirmed.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -14,7 +14,8 @@
 	next     uint64     // next index to send
 	contact  notch.Time // when the latest answered message was sent
 	lastSent notch.Time
-	rejected notch.Time // when the latest message was sent that it rejected
+	probing  bool       // it rejected what was sent, and hasn't confirmed what was sent then
+	probed   notch.Time // when that was sent; earlier messages say nothing new
 	sentSnap notch.Time // when a snapshot was sent that isn't answered yet; zero: none
 }
 
@@ -77,7 +78,7 @@
 	}
 	s.persistTail()
 	for i := range s.progress {
-		if s.progress[i].next+uint64(s.limits.Pipeline) > s.log.lastIndex() {
+		if pr := s.progress[i]; !pr.probing && pr.next+uint64(s.limits.Pipeline) > s.log.lastIndex() {
 			s.sendAppend(i)
 		}
 	}
@@ -122,6 +123,38 @@
 	s.setProgress(i, pr)
 }
 
+// probePatience is how many resend intervals a replica may take to confirm what was
+// sent after a rejection.
+const probePatience = 4
+
+// beat sends replica i a heartbeat, with entries if it lacks some. While a probe is
+// under way there are none, so that a replica far behind isn't sent the same again and
+// again.
+func (s *stepper) beat(i int) {
+	pr := s.progress[i]
+	if !pr.probing || pr.match < s.log.base {
+		s.sendAppend(i)
+		return
+	}
+	if s.now.Sub(pr.probed) >= probePatience*s.timing.Resend {
+		s.probe(i)
+		return
+	}
+	s.send(pr.replica.Name, notch.AppendRequest{
+		Term: s.hard.Term, Leader: s.self.Name, PrevIndex: pr.match, PrevTerm: s.log.term(pr.match),
+		Commit: min(s.commit, pr.match), SentAt: s.now,
+	})
+}
+
+// probe sends replica i what follows the entries that it is known to have.
+func (s *stepper) probe(i int) {
+	pr := s.progress[i]
+	pr.next = pr.match + 1
+	pr.probing, pr.probed = true, s.now
+	s.setProgress(i, pr)
+	s.sendAppend(i)
+}
+
 func (s *stepper) sendSnapshot(i int) {
 	pr := s.progress[i]
 	pr.lastSent = s.now
@@ -164,7 +197,7 @@
 	}
 	s.heartbeatDue = s.now.Add(s.timing.Heartbeat)
 	for i := range s.progress {
-		s.sendAppend(i)
+		s.beat(i)
 	}
 	if len(s.progress) == 1 {
 		s.updateContact()
@@ -278,26 +311,29 @@
 	if pr.match >= s.snapshotIndex() {
 		pr.sentSnap = 0
 	}
+	if pr.match+1 >= pr.next {
+		pr.probing = false
+	}
 	s.setProgress(i, pr)
 	s.updateContact()
 	s.advanceCommit()
-	if pr.next <= s.log.lastIndex() {
+	if !s.progress[i].probing && pr.next <= s.log.lastIndex() {
 		s.sendAppend(i)
 	}
 }
 
-// rejected goes back to where the follower's log may agree. Each send is answered
-// by at most one further send, and none while a snapshot is under way: replies
-// that arrive twice must not multiply.
+// rejected goes back to where the follower's log may agree, by one probe at a time:
+// messages that were sent before it are rejected too, and must not multiply.
 func (s *stepper) rejected(i int, pr progress, m notch.AppendReply) {
-	again := m.SentAt > pr.rejected && (pr.sentSnap == 0 || m.Match >= s.log.base)
-	pr.rejected = max(pr.rejected, m.SentAt)
-	pr.next = max(min(m.Match, s.log.lastIndex())+1, pr.match+1)
 	s.setProgress(i, pr)
-	if again {
-		s.sendAppend(i)
-	}
 	s.updateContact()
+	if m.SentAt < pr.probed || (pr.sentSnap != 0 && m.Match < s.log.base) {
+		return
+	}
+	pr.next = max(min(m.Match, s.log.lastIndex())+1, pr.match+1)
+	pr.probing, pr.probed = true, s.now
+	s.setProgress(i, pr)
+	s.sendAppend(i)
 }
 
 // advanceCommit commits what a quorum has synced, if it is of this term.
