--- /dev/null
+++ b/assign/assign_test.go
@@ -0,0 +1,83 @@
+package assign
+
+import (
+	"testing"
+	"time"
+
+	notch "tamaracknotch"
+	"tamaracknotch/press"
+)
+
+// agents is a fixed list of views.
+type agents []notch.AgentView
+
+func (a agents) Len() int                         { return len(a) }
+func (a agents) At(i int) (notch.AgentView, bool) { return a[i], true }
+
+func agent(free int64, served []string, filled []notch.Load) notch.AgentView {
+	return notch.AgentView{
+		Agent: notch.Agent{Size: notch.Resources{MilliCPU: 64000, MemoryMB: 100}, Rack: "r1"},
+		Free:  notch.Resources{MilliCPU: free, MemoryMB: 50}, Served: served, Filled: filled, Room: 40,
+	}
+}
+
+func TestPlace(t *testing.T) {
+	task := notch.Stage{Size: notch.Resources{MilliCPU: 8000, MemoryMB: 1}, Image: "f"}
+	fill, serve := task, task
+	fill.Fills = true
+	serve.Target, serve.Image = time.Second, "s"
+	crowd := []notch.Load{{Image: "g", Cores: 20}}
+	cases := []struct {
+		name      string
+		stage     notch.Stage
+		agents    agents
+		want      int // by Roomiest
+		wantNaive int
+	}{
+		{"the roomier one", task, agents{agent(9000, nil, nil), agent(60000, nil, nil)}, 1, 0},
+		{"none has room", task, agents{agent(7000, nil, nil)}, -1, -1},
+		{"serving beside its own image", serve, agents{agent(60000, nil, nil), agent(30000, []string{"s"}, nil), agent(30000, []string{"t"}, nil)}, 1, 0},
+		{"serving alone rather than beside another", serve, agents{agent(30000, []string{"t"}, nil), agent(60000, nil, nil)}, 1, 0},
+		{"filling where nothing serves", fill, agents{agent(30000, []string{"s"}, nil), agent(30000, nil, nil)}, 1, 0},
+		{"filling beyond the room", fill, agents{agent(30000, []string{"s"}, crowd)}, -1, 0},
+	}
+	for _, c := range cases {
+		for seed := range uint64(5) {
+			if got := (Roomiest{Interplay: press.New()}).Place(notch.RunRequest{Stage: c.stage}, c.agents, seed); got != c.want {
+				t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+			}
+		}
+		if got := (FirstFit{}).Place(notch.RunRequest{Stage: c.stage}, c.agents, 0); got != c.wantNaive {
+			t.Errorf("%s, first fit: got %d, want %d", c.name, got, c.wantNaive)
+		}
+	}
+}
+
+func TestOrder(t *testing.T) {
+	now := notch.Time(time.Hour)
+	base := notch.ReadyTask{Priority: 1, Accepted: now, Due: now.Add(5 * time.Second), Remaining: time.Second}
+	with := func(f func(*notch.ReadyTask)) notch.ReadyTask {
+		r := base
+		f(&r)
+		return r
+	}
+	cases := []struct {
+		name          string
+		before, after notch.ReadyTask
+	}{
+		{"a task that lasts", with(func(r *notch.ReadyTask) { r.Lasts, r.Priority = true, 5 }), base},
+		{"a more pressing route", with(func(r *notch.ReadyTask) { r.Priority = 0; r.Due = now.Add(time.Hour) }), base},
+		{"less time left", with(func(r *notch.ReadyTask) { r.Due = now.Add(4 * time.Second) }), base},
+		{"a longer chain left", with(func(r *notch.ReadyTask) { r.Remaining = 2 * time.Second }), base},
+		{"late already", with(func(r *notch.ReadyTask) { r.Due = now.Add(-time.Minute) }), base},
+	}
+	for _, c := range cases {
+		if a, b := (BySlack{}).Rank(c.before, now), (BySlack{}).Rank(c.after, now); a >= b {
+			t.Errorf("%s: got rank %d, want it below %d", c.name, a, b)
+		}
+	}
+	earlier := with(func(r *notch.ReadyTask) { r.Accepted = now.Add(-time.Second); r.Priority = 9 })
+	if a, b := (FIFO{}).Rank(earlier, now), (FIFO{}).Rank(base, now); a >= b {
+		t.Errorf("first come: got rank %d, want it below %d", a, b)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -251,7 +251,7 @@
 func (d *Daemon) Ready() error {
 	switch {
 	case d.stopping.Load():
-		return errors.New("stopping")
+		return errors.Wrap(notch.ErrClosed, "stopping")
 	case !d.engine.Leased():
 		return errors.New("no lease from control: requests are refused")
 	}
--- a/flow/contact.go
+++ b/flow/contact.go
@@ -137,7 +137,8 @@
 		return
 	}
 	s.lives++
-	s.contacts = s.contacts.Set(a.ID, contact{life: a.Life(), token: s.token(), book: lease.New(s.floor(now))})
+	// Nobody else has granted this life anything.
+	s.contacts = s.contacts.Set(a.ID, contact{life: a.Life(), token: s.token(), book: lease.New(now)})
 	s.hold(a.ID)
 }
 
--- a/script/step.go
+++ b/script/step.go
@@ -13,6 +13,7 @@
 	"tamaracknotch/batch"
 	"tamaracknotch/claim"
 	"tamaracknotch/consensus"
+	"tamaracknotch/flow"
 	"tamaracknotch/gateway"
 	"tamaracknotch/member"
 	"tamaracknotch/share"
@@ -45,6 +46,7 @@
 	"member":       func() notch.Part { return member.New(bareDaemon, 1, 1) },
 	"share-leader": func() notch.Part { return share.NewLeader("a") },
 	"share-entry":  func() notch.Part { return share.NewEntry(bareDaemon, 1) },
+	"flow":         func() notch.Part { return flow.New(bareDaemon) },
 	"traffic":      func() notch.Part { return traffic.New(0, "north") },
 }
 
@@ -61,6 +63,8 @@
 	notch.Noop{}, notch.Barrier{}, notch.EditTable{}, notch.ClaimRequest{}, notch.ReleaseClaim{}, notch.SubmitJob{},
 	notch.CancelJobs{}, notch.RegisterWorker{}, notch.PlaceTasks{}, notch.ReportTasks{}, notch.ReleaseWorker{},
 	notch.StopTasks{}, notch.QuarantineWorker{}, notch.ChangeReplicas{}, notch.Proposal{},
+	notch.ReplaceTables{}, notch.SubmitFlow{}, notch.CancelFlow{}, notch.AdmitAgent{}, notch.PlaceRuns{}, notch.EndRuns{},
+	notch.AgentSaid{}, notch.AgentAnswered{}, notch.QuestionArrived{},
 )
 
 func typesOf(values ...any) map[string]reflect.Type {
