Show a job made of stages through the platform's protocol

Cause: notchload showed no job through this interface, and the test's stand-in worker was of use to nobody else.

--- a/load/main.go
+++ b/load/main.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -8,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"tamaracknotch/experiment"
+	"tamaracknotch/front"
 )
 
 // The exit codes of notchload.
@@ -19,6 +21,7 @@
 
 type args struct {
 	settings
+	Flow       *flowCmd       `arg:"subcommand:flow" help:"show a job made of stages on its way, through an adapter's protocol"`
 	Experiment *experimentCmd `arg:"subcommand:experiment" help:"measure decisions in virtual time beside their baselines"`
 }
 
@@ -28,6 +31,16 @@
 	Check bool   `arg:"--check" help:"exit with 1 if a target is missed"`
 }
 
+// flowCmd shows a job through one daemon.
+type flowCmd struct{}
+
+// Demo shows a job made of stages in the protocol of an adapter.
+type Demo struct {
+	Name string // of the adapter
+	Face func() front.Face
+	Show func(ctx context.Context, callers, operators string, out io.Writer) error
+}
+
 // Description implements go-arg's Described.
 func (args) Description() string {
 	return "notchload puts load on three daemons in this process, retires a backend server, checks every promise and measures."
@@ -39,7 +52,7 @@
 }
 
 // Main runs the program and returns its exit code.
-func Main(argv []string, out, errOut io.Writer) int {
+func Main(argv []string, out, errOut io.Writer, demo Demo) int {
 	var a args
 	parser, err := arg.NewParser(arg.Config{Program: "notchload", Out: errOut}, &a)
 	if err != nil {
@@ -58,6 +71,9 @@
 		fmt.Fprintln(errOut, "notchload:", err)
 		return exitUsage
 	}
+	if a.Flow != nil {
+		return showFlow(demo, out, errOut)
+	}
 	if a.Experiment != nil {
 		return runExperiment(a, out, errOut)
 	}
