Write the log on a goroutine of its own, bounded

Cause: a reader of the log that stops reading stopped the control loop with it. Change: lines wait in a queue of 4,096; what doesn't fit is dropped and counted as log-lines-dropped. The last lines are written at a stop. Figures: daemon's TestLogNeverBlocks: 12,288 lines without a reader, at most 4,097 kept.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,7 +49,12 @@
 		fx.StopTimeout(time.Duration(s.DrainDelay)+time.Duration(s.StopTimeout)+stopMargin),
 		fx.Supply(s, faces),
 		fx.Provide(
-			func() *logrus.Logger { return newLogger(s, out) },
+			func(lc fx.Lifecycle, registry metrics.Registry) *logrus.Logger {
+				w := newLogWriter(out)
+				registry.Register("log-lines-dropped", metrics.NewFunctionalGauge(w.dropped.Load))
+				lc.Append(fx.Hook{OnStop: func(ctx context.Context) error { return w.end(ctx) }})
+				return newLogger(s, w)
+			},
 			func() metrics.Registry { return metrics.NewRegistry() },
 			New,
 		),
