--- a/api/tables.go
+++ b/api/tables.go
@@ -28,12 +28,19 @@
 // Route is a row of the table routes.
 type Route struct {
 	Name       string   `json:"name" yaml:"name"`
+	Host       string   `json:"host,omitempty" yaml:"host,omitempty"` // of the request; empty: any
 	Path       string   `json:"path" yaml:"path"`
 	Pool       string   `json:"pool" yaml:"pool"`
 	Timeout    Duration `json:"timeout,omitempty" yaml:"timeout,omitempty"`
 	Class      string   `json:"class,omitempty" yaml:"class,omitempty"`
 	Idempotent bool     `json:"idempotent,omitempty" yaml:"idempotent,omitempty"`
 	MaxQueue   int      `json:"max-queue,omitempty" yaml:"max-queue,omitempty"`
+
+	// Of a route to a pool of workers:
+	Priority int      `json:"priority,omitempty" yaml:"priority,omitempty"`
+	Attempts int      `json:"attempts,omitempty" yaml:"attempts,omitempty"`
+	Stretch  float64  `json:"stretch,omitempty" yaml:"stretch,omitempty"`
+	Target   Duration `json:"target,omitempty" yaml:"target,omitempty"`
 }
 
 // Pool is a row of the table pools.
@@ -112,8 +119,9 @@
 			timeout = defaultTimeout
 		}
 		out = append(out, notch.Route{
-			Name: r.Name, Path: r.Path, Pool: r.Pool, Timeout: timeout,
+			Name: r.Name, Host: r.Host, Path: r.Path, Pool: r.Pool, Timeout: timeout,
 			Class: c, Idempotent: r.Idempotent, MaxQueue: r.MaxQueue,
+			Priority: r.Priority, Attempts: r.Attempts, Stretch: r.Stretch, Target: time.Duration(r.Target),
 		})
 	}
 	return out, errs
@@ -166,8 +174,9 @@
 
 func routeFrom(r notch.Route) Route {
 	return Route{
-		Name: r.Name, Path: r.Path, Pool: r.Pool, Timeout: Duration(r.Timeout),
+		Name: r.Name, Host: r.Host, Path: r.Path, Pool: r.Pool, Timeout: Duration(r.Timeout),
 		Class: r.Class.String(), Idempotent: r.Idempotent, MaxQueue: r.MaxQueue,
+		Priority: r.Priority, Attempts: r.Attempts, Stretch: r.Stretch, Target: Duration(r.Target),
 	}
 }
 
--- a/table/validate.go
+++ b/table/validate.go
@@ -72,6 +72,9 @@
 		if r.Timeout <= 0 || r.Timeout > MaxTimeout {
 			c.fail(at+".timeout", "is %v, must be above 0s and at most %v", r.Timeout, MaxTimeout)
 		}
+		if r.Priority < 0 || r.Attempts < 0 || r.Stretch < 0 || r.Target < 0 {
+			c.fail(at, "priority, attempts, stretch and target must not be negative")
+		}
 		if r.MaxQueue < 0 {
 			c.fail(at+".max-queue", "is %d, must not be negative", r.MaxQueue)
 		}
