Move what lasts off a draining agent

Cause: tasks that last, and those that save their progress, stayed on agents that drain until these left, and were missed until the goodbye or the lease told. Change: a look at a draining agent stops them, so that they are placed elsewhere.

--- a/flow/contact.go
+++ b/flow/contact.go
@@ -271,6 +271,7 @@
 		s.live(c, a, l)
 	}
 	s.relieve(a, b.Answer.Live)
+	s.evacuate(a, b.Answer.Live)
 	switch {
 	case len(ends) > 0:
 		c.listed = upTo
@@ -285,6 +286,20 @@
 	}
 }
 
+// evacuate moves off a draining agent what would be cut when it leaves and loses
+// nothing by a move: tasks that last, and those that save their progress.
+func (s *stepper) evacuate(a notch.Agent, live []notch.LiveRun) {
+	if !a.Draining || a.Left {
+		return
+	}
+	for _, l := range live {
+		if st := s.stageIs(l.Run); st.Lasts || st.Saves {
+			s.stopRun(a, l.Run)
+			s.count("runs-evacuated", 1)
+		}
+	}
+}
+
 // newEnds returns the listed ends that weren't proposed before and concern runs that
 // aren't known to have ended.
 func (s *stepper) newEnds(c contact, listed []notch.ListedEnd) ([]notch.RunEnd, uint64) {
