--- /dev/null
+++ b/flow/bench_test.go
@@ -0,0 +1,119 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	notch "tamaracknotch"
+)
+
+// site is a leading part with agents, each of which runs some tasks.
+type site struct {
+	state notch.State
+	now   notch.Time
+	index uint64
+}
+
+func (s *site) step(b notch.Body) {
+	s.state, _ = notch.Step(s.state, notch.Event{At: s.now, Seed: s.index, Body: b})
+}
+
+func (s *site) commit(c notch.Command) {
+	s.index++
+	s.step(notch.Committed{Entry: notch.Entry{Index: s.index, Term: 2, At: s.now, Command: c}})
+}
+
+func (s *site) pass(d time.Duration) {
+	s.now = s.now.Add(d)
+	s.step(notch.Leadership{Leading: true, Term: 2, Ready: 1, Contact: s.now})
+}
+
+func newSite(agents int) *site {
+	s := &site{state: notch.NewState(New(notch.Daemon{Name: "a"})), now: notch.Time(time.Hour)}
+	s.step(notch.TablesCommitted{Tables: notch.Tables{
+		Revision: 1, Routes: []notch.Route{{Name: "r", Path: "/r/", Pool: "p", Attempts: 3, Stretch: 2}},
+		Pools: []notch.Pool{{Name: "p", Kind: notch.WorkerPool}},
+	}})
+	s.pass(0)
+	for i := range agents {
+		a := notch.Agent{ID: fmt.Sprintf("w%d", i), Born: 1, Pool: "p", Address: "x", Size: notch.Resources{MilliCPU: 64000, MemoryMB: 256000}}
+		s.commit(notch.AdmitAgent{Agent: a})
+		s.hold(i)
+	}
+	return s
+}
+
+// hold answers agent i's hold with nothing new.
+func (s *site) hold(i int) {
+	id := fmt.Sprintf("w%d", i)
+	o := notch.AgentOrder{Kind: notch.AgentHold, Token: 2<<lifeBits | uint64(i+1)}
+	s.step(notch.AgentAnswered{
+		Life: notch.Life{Agent: id, Born: 1}, Order: o, SentAt: s.now,
+		Answer: notch.AgentAnswer{Kind: notch.AgentOK, Clock: int64(s.now / 1e6), Born: 1},
+	})
+}
+
+func (s *site) submit(id string, tasks int) {
+	s.commit(notch.SubmitFlow{Flow: notch.Flow{ID: id, Route: "r", Spec: "x", Stages: []notch.Stage{
+		{Count: tasks, Size: notch.Resources{MilliCPU: 1000, MemoryMB: 100}, Estimate: time.Second},
+	}}})
+}
+
+var sizes = []int{50, 400, 3900}
+
+// BenchmarkHold is the leader's cost of an agent's answer that tells nothing new.
+func BenchmarkHold(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newSite(n)
+			for i := 0; b.Loop(); i++ {
+				s.hold(i % n)
+			}
+		})
+	}
+}
+
+// BenchmarkTick is the cost of a tick, twenty of which come in a second.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newSite(n)
+			for b.Loop() {
+				s.step(notch.Tick{})
+			}
+		})
+	}
+}
+
+// BenchmarkJob is the leader's cost of a job of ten tasks from its submission through
+// one plan to the ends of its runs.
+func BenchmarkJob(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newSite(n)
+			for i := 0; b.Loop(); i++ {
+				s.job(fmt.Sprintf("f%d", i), 10)
+			}
+		})
+	}
+}
+
+// job sees a job through.
+func (s *site) job(id string, tasks int) {
+	s.submit(id, tasks)
+	s.pass(20 * time.Millisecond)
+	s.step(notch.Flush{})
+	var placed []notch.RunPlacement
+	byAgent := map[notch.Life][]notch.RunEnd{}
+	for i := range tasks {
+		t := notch.TaskRef{Flow: id, Index: i}
+		life := notch.Life{Agent: fmt.Sprintf("w%d", i), Born: 1}
+		placed = append(placed, notch.RunPlacement{Task: t, Life: life})
+		byAgent[life] = append(byAgent[life], notch.RunEnd{Run: notch.RunRef{Task: t, Number: 1}, Kind: notch.RunDone})
+	}
+	s.commit(notch.PlaceRuns{Token: 2, Placements: placed})
+	for life, ends := range byAgent {
+		s.commit(notch.EndRuns{Life: life, Ends: ends})
+	}
+}
