Make up for orders that a stalled disk kept back

Cause: read, not seen: a commit may be applied when the quorum's last answer is over a second old, as after a stalled sync. An agent admitted then was never talked to, and a run placed then never sent nor given up, until the lead changed. Change: contacts are made whenever this replica leads; a start that wasn't sent counts as not answered, so that the lists give it up.

--- a/flow/flow.go
+++ b/flow/flow.go
@@ -201,8 +201,11 @@
 
 func field(name, value string) notch.Field { return notch.Field{Name: name, Value: value} }
 
-// acts reports whether this replica may give orders: it leads, its first entry is
-// committed, and a quorum has answered of late.
+// leads reports whether this replica leads and knows all that is committed.
+func (s *stepper) leads() bool { return s.leading.Leading && s.leading.Ready != 0 }
+
+// acts reports whether this replica may give orders: it leads, no agent knows a later
+// leader, and a quorum has answered of late.
 func (s *stepper) acts() bool {
-	return s.leading.Leading && s.leading.Ready != 0 && s.leading.Term != s.fenced && s.now.Sub(s.leading.Contact) < s.timing.Contact
+	return s.leads() && s.leading.Term != s.fenced && s.now.Sub(s.leading.Contact) < s.timing.Contact
 }
--- a/flow/meet.go
+++ b/flow/meet.go
@@ -79,7 +79,7 @@
 
 // meet begins to talk to a new life.
 func (s *stepper) meet(a notch.Agent, now notch.Time) {
-	if !s.acts() {
+	if !s.leads() {
 		return
 	}
 	s.lives++
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -36,8 +36,13 @@
 
 // startRun sends the start of a run that was just committed, if this leader placed it.
 func (s *stepper) startRun(a notch.Agent, spec string, ref notch.RunRef, r notch.Run, saved string) {
+	if !s.leads() || r.Token != s.leading.Term {
+		return
+	}
 	c, ok := s.contacts.Get(a.ID)
-	if !s.acts() || r.Token != s.leading.Term || !ok {
+	if !ok || !s.acts() {
+		// Nothing was sent. It is given up like a start that wasn't answered.
+		s.starts = s.starts.Set(ref, start{outcome: notch.AgentSilent, done: s.now})
 		return
 	}
 	o := notch.AgentOrder{
