--- a/decisions_test.go
+++ b/decisions_test.go
@@ -14,7 +14,7 @@
 var (
 	decisions = []string{
 		".", "consensus", "table", "claim", "batch", "gateway", "member", "share", "traffic",
-		"pick", "queue", "retry", "order", "place", "interfere",
+		"pick", "queue", "retry", "order", "place", "interfere", "flow", "graph", "lease", "press", "assign",
 	}
 	outside = []string{
 		"net", "net/http", "os", "encoding/json", "github.com/fxamacker/cbor/v2", "github.com/coder/websocket",
