Form a set that can't lock itself out

While the cluster formed, learners that had confirmed nothing were made voters 0.07 s after the founder led, as a log of under 64 entries counts as caught up; one of them was out of reach, the founder lost its quorum after 0.5 s, and the new voters, whose logs didn't list them yet, refused their votes for ever. Change: a learner is made a voter only after it confirmed entries; a vote isn't refused because the own log doesn't list its giver.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -113,7 +113,10 @@
 }
 
 func (s *stepper) grants(m notch.VoteRequest) bool {
-	if !s.isVoter() || m.Term < s.hard.Term || (m.Pre && m.Term == s.hard.Term) {
+	// Whether this replica votes is for the candidate's log to say, which may hold the
+	// entry that makes it a voter when its own doesn't: the candidate counts a vote only
+	// if its set lists this very data folder.
+	if m.Term < s.hard.Term || (m.Pre && m.Term == s.hard.Term) {
 		return false
 	}
 	if !m.Pre && s.hard.Vote != "" && s.hard.Vote != m.Candidate.Name {
--- a/consensus/form.go
+++ b/consensus/form.go
@@ -36,7 +36,7 @@
 		}
 	}
 	for _, l := range set.Learners {
-		if !s.caughtUp(l) || s.silentFor(l) > absent {
+		if !s.caughtUp(l) || !s.answered(l) || s.silentFor(l) > absent {
 			continue
 		}
 		if old, ok := named(set.Voters, l.Name); ok {
@@ -64,6 +64,13 @@
 	return out, longest > absent
 }
 
+// answered reports whether a replica has confirmed anything to this leader. One that
+// was only linked may be out of reach, and as a voter would cost the quorum.
+func (s *stepper) answered(r notch.Replica) bool {
+	i := s.progressOf(r)
+	return i >= 0 && s.progress[i].match > 0
+}
+
 // silentFor returns how long a replica hasn't answered this leader.
 func (s *stepper) silentFor(r notch.Replica) time.Duration {
 	i := s.progressOf(r)
--- /dev/null
+++ b/fake/form_test.go
@@ -0,0 +1,42 @@
+package fake
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestFormsWithSlowLinks forms a set of five while what the founder sends to some of the
+// others is lost at first: however the links come up, a leader has to stand in the end.
+func TestFormsWithSlowLinks(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for seed := uint64(1); seed <= 60; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := New(seed)
+			s.Policies.Replicas = len(names)
+			for i, name := range names {
+				s.AddDaemon(name, "north", true, i == 0)
+			}
+			// Links stand from half a second on; some are cut about then.
+			s.Run(time.Duration(490+s.Rand.IntN(40)) * time.Millisecond)
+			for _, name := range names[1:] {
+				if s.Rand.IntN(2) == 0 {
+					s.Cut("a", name)
+				}
+			}
+			s.Run(1200 * time.Millisecond)
+			s.Heal()
+			s.Run(8 * time.Second)
+			leaders, voters := 0, 0
+			for _, n := range s.Nodes() {
+				if s.Leads(n) {
+					p, _ := s.Consensus(n)
+					leaders, voters = leaders+1, len(p.Set().Voters)
+				}
+			}
+			if leaders != 1 || voters != len(names) {
+				t.Errorf("got %d leaders with %d voters, want 1 with %d", leaders, voters, len(names))
+			}
+		})
+	}
+}
