Ask for headroom to spare at a place; keep a share of a crowded pool for short tasks

Tasks that fill never used up what others leave at places chosen as if serving tasks used 0.55 of what they reserve.

Change: a place needs 1.6 times the headroom that loads take; from 0.8 of a pool's processors reserved, tasks that last leave a fifth of each agent to short ones, for 2 s at most, so that the bound for what waits beside room is kept; the share of serving tasks' processors that counts as idle is 0.6.

--- a/assign/place.go
+++ b/assign/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	notch "tamaracknotch"
 )
@@ -14,19 +15,32 @@
 	Interplay notch.Interplay
 }
 
+// What tasks that last leave to short ones: whoever comes to stay could otherwise take
+// all there is, and short tasks are worth more for the time that they take.
+const (
+	crowded      = 0.8             // of all processors: from here on something is kept
+	keptForShort = 0.2             // of an agent
+	patience     = 2 * time.Second // after which a task that lasts takes this too
+)
+
 // The weights of a place, in shares of an agent.
 const (
-	idleServing = 0.45 // of what tasks that serve reserve, that they leave unused
-	wrongRack   = 1.0  // of a place away from the task's data
-	spareWeight = 0.7  // of the headroom that is left to tasks that serve, up to 1
-	sameImage   = 1.0  // of a place beside tasks that serve, of the same image
-	otherImage  = 0.7  // of each other image that serves there, against it
+	idleServing = 0.6 // of what tasks that serve reserve, that they leave unused
+	wrongRack   = 1.0 // of a place away from the task's data
+	placeMargin = 1.6 // times the headroom that loads take has to be spare
+	spareWeight = 0.7 // of the headroom that is left to tasks that serve, up to 1
+	sameImage   = 1.0 // of a place beside tasks that serve, of the same image
+	otherImage  = 0.7 // of each other image that serves there, against it
 )
 
 // Place implements [notch.RunPlacer].
 func (p Roomiest) Place(r notch.RunRequest, as notch.AgentViews, seed uint64) int {
 	best, most := -1, 0.0
 	n := as.Len()
+	keep := 0.0
+	if r.Stage.Lasts && r.Waited < patience && reserved(as) >= crowded {
+		keep = keptForShort
+	}
 	first := notch.Pick(seed, n)
 	for k := range n {
 		i := (first + k) % n
@@ -34,7 +48,7 @@
 		if !ok || !r.Stage.Reserved().Fits(v.Free) {
 			continue
 		}
-		score, ok := p.score(r.Stage, v)
+		score, ok := p.score(r.Stage, v, keep)
 		if ok && (best < 0 || score > most) {
 			best, most = i, score
 		}
@@ -42,14 +56,28 @@
 	return best
 }
 
+// reserved returns the share of all processors that is reserved.
+func reserved(as notch.AgentViews) float64 {
+	var free, whole int64
+	for i := range as.Len() {
+		v, _ := as.At(i)
+		free += v.Free.MilliCPU
+		whole += v.Agent.Size.MilliCPU
+	}
+	return 1 - float64(free)/float64(max(1, whole))
+}
+
 // score rates a place by what is left of the agent once the task runs there, if it may.
-func (p Roomiest) score(st notch.Stage, v notch.AgentView) (float64, bool) {
+// A share of the agent has to be kept.
+func (p Roomiest) score(st notch.Stage, v notch.AgentView, keep float64) (float64, bool) {
 	left := v.Free.Minus(st.Reserved())
 	whole := float64(max(1, v.Agent.Size.MilliCPU))
 	score := float64(left.MilliCPU) / whole
 	memory := float64(left.MemoryMB) / float64(max(1, v.Agent.Size.MemoryMB))
 	score = min(score, memory)
 	switch {
+	case score < keep:
+		return 0, false
 	case st.Fills:
 		left, any := p.spareWith(v, notch.Load{Image: st.Image, Share: float64(st.Size.MilliCPU) / whole})
 		unused := float64(v.Free.MilliCPU-v.Filling-st.Size.MilliCPU) + idleServing*float64(v.Serving)
@@ -89,10 +117,11 @@
 // there and has least.
 func (p Roomiest) spareWith(v notch.AgentView, more notch.Load) (left float64, any bool) {
 	for _, o := range v.Served {
-		spare := o.Spare - p.Interplay.Weight(o.Image, more.Image)*more.Share
+		taken := p.Interplay.Weight(o.Image, more.Image) * more.Share
 		for _, l := range v.Filled {
-			spare -= p.Interplay.Weight(o.Image, l.Image) * l.Share
+			taken += p.Interplay.Weight(o.Image, l.Image) * l.Share
 		}
+		spare := o.Spare - placeMargin*taken
 		if !any || spare < left {
 			left, any = spare, true
 		}
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -18,6 +18,7 @@
 	job   *graph.Job
 	stage notch.Stage
 	rank  int64
+	idle  notch.Time // when it last came to be without a run
 }
 
 // plan proposes placements. One proposal is under way at a time, so that each plan
@@ -73,7 +74,7 @@
 		if !ranked {
 			rank, ranked = s.policy.Order.Rank(s.readyTask(j, group), s.now), true
 		}
-		out = append(out, ready{ref: j.Ref(group, i), after: t.Latest, job: j, stage: st, rank: rank})
+		out = append(out, ready{ref: j.Ref(group, i), after: t.Latest, job: j, stage: st, rank: rank, idle: t.Idle})
 	}
 	return out
 }
@@ -108,7 +109,7 @@
 			pools[pool.Name] = v
 		}
 		v.ask(stage, t.stage)
-		k := placer.Place(notch.RunRequest{Task: t.ref, Stage: t.stage}, v, s.seed+uint64(i))
+		k := placer.Place(notch.RunRequest{Task: t.ref, Stage: t.stage, Waited: s.now.Sub(t.idle)}, v, s.seed+uint64(i))
 		if k < 0 {
 			full[stage] = true
 			continue
--- a/policy.go
+++ b/policy.go
@@ -159,8 +159,9 @@
 
 // RunRequest is a task of a flow that is to be placed.
 type RunRequest struct {
-	Task  TaskRef
-	Stage Stage
+	Task   TaskRef
+	Stage  Stage
+	Waited time.Duration // since the task was last without a run
 }
 
 // AgentView is an agent as a placer sees it.
