Pace down to a tenth; move what stands still after 1.2 s

Cause: a task that fills stood still as soon as there was headroom for less than 0.3 of it, and waited 2 s there, while the headroom of an agent swings within seconds.

Change: the least pace is a tenth, and a task at a stand is moved after 1.2 s.

--- a/flow/colocate.go
+++ b/flow/colocate.go
@@ -11,16 +11,16 @@
 
 // The control of tasks that fill beside tasks that serve.
 const (
-	servingUse   = 0.55                   // of what tasks that serve reserve, that they use near their peaks
-	keepHeadroom = 1.0                    // of every tail: what its target needs
-	lookAhead    = 700 * time.Millisecond // for which a pace has to hold
-	overLong     = 700 * time.Millisecond // over the target, after which nothing may fill
-	paceFull     = 100                    // percent of a task that fills
-	paceLeast    = 30                     // percent below which it stands still
-	paceChange   = 8                      // percent below which a change isn't worth an order
-	stuck        = 2 * time.Second        // at a stand, before a task is moved
-	cheap        = 25                     // percent of progress that may be lost by a move
-	atWork       = 100                    // percent of a task that serves its users
+	servingUse   = 0.55                    // of what tasks that serve reserve, that they use near their peaks
+	keepHeadroom = 1.0                     // of every tail: what its target needs
+	lookAhead    = 700 * time.Millisecond  // for which a pace has to hold
+	overLong     = 700 * time.Millisecond  // over the target, after which nothing may fill
+	paceFull     = 100                     // percent of a task that fills
+	paceLeast    = 10                      // percent below which it stands still
+	paceChange   = 8                       // percent below which a change isn't worth an order
+	stuck        = 1200 * time.Millisecond // at a stand, before a task is moved
+	cheap        = 25                      // percent of progress that may be lost by a move
+	atWork       = 100                     // percent of a task that serves its users
 )
 
 // mix is what is known of the tasks that fill an agent from the looks at it.
