Acknowledge ends only once committed; mind what the life before may still be told

(the others) A start that was carried out late reached the next life of its agent under the same id, which hadn't answered yet, ran there and was listed as done. Meanwhile the run had been given up, as that life held no lease; the end of an unknown run was acknowledged, and the task was placed again.

Change: what isn't committed is proposed again at each look and isn't acknowledged; runs of a former life are given up only after the present one has answered, which has then seen a higher token, or after 25 s; an end that shows a given up run as done counts if no other run was placed since.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -222,8 +222,8 @@
 	s.acknowledged(c)
 }
 
-// end takes one end. An end of a run that isn't known to go on changes nothing: it
-// was taken before, or the run was given up for certain.
+// end takes one end. An end of a run that isn't known to go on changes nothing, unless it
+// shows that the run got done: else it was taken before.
 func (s *stepper) end(life notch.Life, e notch.RunEnd, at notch.Time) {
 	j, ok := s.jobs.Get(e.Run.Task.Flow)
 	if !ok {
@@ -233,11 +233,16 @@
 	if !ok {
 		return
 	}
+	st := j.Flow.Stages[e.Run.Task.Stage]
+	if s.doneAfterAll(e) {
+		s.putJob(j.WithTask(e.Run.Task, s.taskAfter(j, st, t, e, at), at))
+		s.count("runs-done-after-all", 1)
+		return
+	}
 	r, ok := t.Run(e.Run.Number)
 	if !ok || r.Life.Agent != life.Agent {
 		return
 	}
-	st := j.Flow.Stages[e.Run.Task.Stage]
 	s.vacate(life.Agent, e.Run, st)
 	s.starts = s.starts.Delete(e.Run)
 	s.paces = s.paces.Delete(e.Run)
--- a/flow/contact.go
+++ b/flow/contact.go
@@ -22,6 +22,7 @@
 	acked  uint64     // ends up to here are committed
 	paused notch.Time // no new work before
 	ended  notch.Time // when the end of all its runs was last proposed
+	stale  notch.Time // until then orders to a former life may take effect in this one
 	leftAt notch.Time // when it was seen to have left; zero: it hasn't
 }
 
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -75,23 +75,35 @@
 	}
 }
 
-// newEnds returns the listed ends that weren't proposed before and concern runs that
-// aren't known to have ended.
+// newEnds returns the listed ends that concern runs which aren't known to have ended. An
+// end that was proposed before is among them as long as it isn't committed: the leader may
+// lose the lead before it is, so that it mustn't be acknowledged.
 func (s *stepper) newEnds(c contact, listed []notch.ListedEnd) ([]notch.RunEnd, uint64) {
-	upTo := c.listed
+	upTo := c.acked
 	var out []notch.RunEnd
 	for _, l := range listed {
-		if l.N <= c.listed {
+		if l.N <= c.acked {
 			continue
 		}
 		upTo = max(upTo, l.N)
-		if _, ok := s.run(l.End.Run); ok {
+		if _, ok := s.run(l.End.Run); ok || s.doneAfterAll(l.End) {
 			out = append(out, l.End)
 		}
 	}
 	return out, upTo
 }
 
+// doneAfterAll reports whether an end shows that a run was given up which got done, and
+// no other run of its task was placed since.
+func (s *stepper) doneAfterAll(e notch.RunEnd) bool {
+	j, ok := s.jobs.Get(e.Run.Task.Flow)
+	if !ok || e.Kind != notch.RunDone {
+		return false
+	}
+	t, ok := j.Task(e.Run.Task)
+	return ok && j.Wanted(t) && len(t.Runs) == 0 && t.Latest == e.Run.Number
+}
+
 // run returns a run that isn't known to have ended.
 func (s *stepper) run(ref notch.RunRef) (notch.Run, bool) {
 	j, ok := s.jobs.Get(ref.Task.Flow)
--- a/flow/meet.go
+++ b/flow/meet.go
@@ -69,6 +69,10 @@
 	return at.Add(time.Duration(float64(s.timing.Lease)*(1+lease.Drift)) + formerLeases)
 }
 
+// staleOrders bounds how long after a life was met an order to the life before it may
+// be obeyed, and the lease that comes with it last.
+const staleOrders = 25 * time.Second
+
 // lifeBits is the size of the part of a token that counts the lives met in one term.
 const lifeBits = 20
 
@@ -83,7 +87,8 @@
 		return
 	}
 	s.lives++
-	// Nobody else has granted this life anything.
-	s.contacts = s.contacts.Set(a.ID, contact{life: a.Life(), token: s.token(), book: lease.New(now)})
+	// Nobody else has granted this life anything, but it may yet obey what was meant for
+	// the one before.
+	s.contacts = s.contacts.Set(a.ID, contact{life: a.Life(), token: s.token(), book: lease.New(now), stale: now.Add(staleOrders)})
 	s.hold(a.ID)
 }
--- a/flow/watch.go
+++ b/flow/watch.go
@@ -39,6 +39,10 @@
 	case c.silent == 0 || !c.book.Over(s.now):
 		return
 	}
+	refs = slices.DeleteFunc(slices.Clone(refs), func(ref notch.RunRef) bool { return s.mayBegin(c, ref) })
+	if len(refs) == 0 {
+		return
+	}
 	c.ended = s.now
 	s.contacts = s.contacts.Set(id, c)
 	s.notice("gives up the runs of an agent", field("agent", id), field("why", string(kind)))
@@ -49,5 +53,12 @@
 	s.propose(notch.EndRuns{Life: c.life, Ends: ends})
 }
 
+// mayBegin reports whether a run of a former life may begin in the present one, which
+// hasn't answered since it was met.
+func (s *stepper) mayBegin(c contact, ref notch.RunRef) bool {
+	r, ok := s.run(ref)
+	return ok && r.Life != c.life && c.heard == 0 && s.now.Before(c.stale)
+}
+
 // leaveTime is how long an agent that said goodbye may take to end its runs.
 const leaveTime = 500 * time.Millisecond
