Look at fewer weights for each look

Cause: a look at an agent with six tasks that serve and six that fill cost the leader about 95 us, most of it for changing a persistent map once a tail and load.

Change: the weights of one image that serves are one sorted row, copied once a look; images that serve on an agent are counted once, with the least headroom of their tasks; what a task that fills takes is worked out once.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -65,7 +65,7 @@
 func TestKeptForShort(t *testing.T) {
 	lasts := notch.Stage{Size: notch.Resources{MilliCPU: 13000, MemoryMB: 1}, Image: "s", Target: time.Second, Lasts: true}
 	short := notch.Stage{Size: lasts.Size}
-	full := agent(2000, []string{"s", "s", "s"}, nil)
+	full := agent(2000, []string{"s"}, nil)
 	cases := []struct {
 		name   string
 		stage  notch.Stage
--- a/assign/place.go
+++ b/assign/place.go
@@ -1,7 +1,6 @@
 package assign
 
 import (
-	"slices"
 	"time"
 
 	notch "tamaracknotch"
@@ -101,12 +100,10 @@
 // one image suffer from the same images that fill, so that others may go there.
 func company(image string, served []notch.Served) float64 {
 	score := 0.0
-	for i, o := range served {
-		switch {
-		case slices.ContainsFunc(served[:i], func(p notch.Served) bool { return p.Image == o.Image }):
-		case o.Image == image:
+	for _, o := range served {
+		if o.Image == image {
 			score += sameImage
-		default:
+		} else {
 			score -= otherImage
 		}
 	}
--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -117,3 +117,43 @@
 		s.commit(notch.EndRuns{Life: life, Ends: ends})
 	}
 }
+
+// BenchmarkLook is the cost of an agent's answer with tails and readings, by the number
+// of tasks that serve, beside each of which one fills.
+func BenchmarkLook(b *testing.B) {
+	for _, n := range []int{2, 6, 12} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newSite(1)
+			live := s.mixed(n)
+			o := notch.AgentOrder{Kind: notch.AgentHold, Token: 2<<lifeBits | 1}
+			for b.Loop() {
+				s.now = s.now.Add(100 * time.Millisecond)
+				s.step(notch.Leadership{Leading: true, Term: 2, Ready: 1, Contact: s.now})
+				s.step(notch.AgentAnswered{
+					Life: notch.Life{Agent: "w0", Born: 1}, Order: o, SentAt: s.now,
+					Answer: notch.AgentAnswer{Kind: notch.AgentOK, Clock: int64(s.now / 1e6), Born: 1, Live: live},
+				})
+			}
+		})
+	}
+}
+
+// mixed places n tasks that serve and n that fill on the first agent, and returns what it
+// lists of them.
+func (s *site) mixed(n int) []notch.LiveRun {
+	var live []notch.LiveRun
+	var placed []notch.RunPlacement
+	for i := range 2 * n {
+		id := fmt.Sprint("f", i)
+		st := notch.Stage{Count: 1, Size: notch.Resources{MilliCPU: 1000, MemoryMB: 100}, Image: fmt.Sprint("i", i%8)}
+		l := notch.LiveRun{Run: notch.RunRef{Task: notch.TaskRef{Flow: id}, Number: 1}, Progress: 100, Reading: 40}
+		if st.Fills = i >= n; !st.Fills {
+			st.Lasts, st.Target = true, 100*time.Millisecond
+		}
+		s.commit(notch.SubmitFlow{Flow: notch.Flow{ID: id, Route: "r", Stages: []notch.Stage{st}}})
+		placed = append(placed, notch.RunPlacement{Task: l.Run.Task, Life: notch.Life{Agent: "w0", Born: 1}})
+		live = append(live, l)
+	}
+	s.commit(notch.PlaceRuns{Token: 2, Placements: placed})
+	return live
+}
--- a/flow/colocate.go
+++ b/flow/colocate.go
@@ -106,7 +106,8 @@
 	return float64(milli) / float64(max(1, a.Size.MilliCPU))
 }
 
-// served returns the tasks that serve on an agent, with the headroom that others may take.
+// served returns the images that serve on an agent, each with the headroom that others
+// may take of the task of it that has least.
 func (s *stepper) served(agent string) []notch.Served {
 	var out []notch.Served
 	m, _ := s.mixes.Get(agent)
@@ -120,7 +121,35 @@
 		if !m.shut {
 			spare = max(0, s.interplay.Alone(groupOf(ref.Task), s.now.Add(lookAhead))-keepHeadroom)
 		}
-		out = append(out, notch.Served{Image: st.Image, Spare: spare})
+		out = withServed(out, notch.Served{Image: st.Image, Spare: spare})
+	}
+	return out
+}
+
+// withServed adds a task that serves to those of the same image.
+func withServed(served []notch.Served, more notch.Served) []notch.Served {
+	for i, v := range served {
+		if v.Image == more.Image {
+			served[i].Spare = min(v.Spare, more.Spare)
+			return served
+		}
+	}
+	return append(served, more)
+}
+
+// appetite is what a task that fills takes of the headroom of each image that serves
+// beside it when it goes at its full pace.
+type appetite struct {
+	takes []float64 // in the order of the images that serve
+	most  float64
+}
+
+func (s *stepper) appetite(a notch.Agent, served []notch.Served, f notch.LiveRun) appetite {
+	st := s.stageIs(f.Run)
+	out := appetite{takes: make([]float64, len(served))}
+	for i, v := range served {
+		out.takes[i] = s.interplay.Weight(v.Image, st.Image) * shareOf(a, st.Size.MilliCPU)
+		out.most = max(out.most, out.takes[i])
 	}
 	return out
 }
@@ -130,41 +159,30 @@
 func (s *stepper) paced(a notch.Agent, l look, served []notch.Served) []int {
 	out := make([]int, len(l.filling))
 	order := make([]int, len(l.filling))
-	for i := range order {
-		order[i] = i
+	wants := make([]appetite, len(l.filling))
+	for i, f := range l.filling {
+		order[i], wants[i] = i, s.appetite(a, served, f)
 	}
-	slices.SortStableFunc(order, func(i, k int) int {
-		return cmp.Compare(s.harm(a, served, l.filling[i]), s.harm(a, served, l.filling[k]))
-	})
+	slices.SortStableFunc(order, func(i, k int) int { return cmp.Compare(wants[i].most, wants[k].most) })
 	for _, i := range order {
-		out[i] = s.takeSpare(a, served, l.filling[i])
+		out[i] = takeSpare(served, wants[i])
 	}
 	return out
 }
 
-// harm returns the most headroom that a task takes at its full pace.
-func (s *stepper) harm(a notch.Agent, served []notch.Served, f notch.LiveRun) float64 {
-	st, most := s.stageIs(f.Run), 0.0
-	for _, v := range served {
-		most = max(most, s.interplay.Weight(v.Image, st.Image)*shareOf(a, st.Size.MilliCPU))
-	}
-	return most
-}
-
 // takeSpare returns the pace in percent that the headroom left allows one more task, and
 // takes it off the headroom.
-func (s *stepper) takeSpare(a notch.Agent, served []notch.Served, f notch.LiveRun) int {
-	st, part := s.stageIs(f.Run), 1.0
-	share := shareOf(a, st.Size.MilliCPU)
-	for _, v := range served {
-		part = min(part, v.Spare/max(0.001, s.interplay.Weight(v.Image, st.Image)*share))
+func takeSpare(served []notch.Served, want appetite) int {
+	part := 1.0
+	for i, v := range served {
+		part = min(part, v.Spare/max(0.001, want.takes[i]))
 	}
 	percent := int(part * paceFull)
 	if percent < paceLeast {
 		return 0
 	}
 	for i, v := range served {
-		served[i].Spare = max(0, v.Spare-part*s.interplay.Weight(v.Image, st.Image)*share)
+		served[i].Spare = max(0, v.Spare-part*want.takes[i])
 	}
 	return percent
 }
--- a/flow/views.go
+++ b/flow/views.go
@@ -108,7 +108,7 @@
 	}
 	*view = withTask(*view, v.stage)
 	if v.stage.Target > 0 {
-		view.Served = append(slices.Clip(view.Served), notch.Served{Image: v.stage.Image})
+		view.Served = withServed(slices.Clone(view.Served), notch.Served{Image: v.stage.Image})
 	}
 	if v.stage.PerAgent > 0 {
 		v.same[v.asked][view.Agent.ID]++
--- a/policy.go
+++ b/policy.go
@@ -170,15 +170,15 @@
 	Free    Resources // not reserved
 	Filling int64     // milli-cpu declared by the tasks that fill
 	Serving int64     // milli-cpu reserved by the tasks that serve users of their own
-	Served  []Served  // the tasks that serve
+	Served  []Served  // the images that serve, each once
 	Filled  []Load    // of the tasks that fill, as declared
 	Same    int       // runs of the same stage and round
 }
 
-// Served is a task that serves, as a placer sees it.
+// Served is the tasks of one image that serve on an agent, as a placer sees them.
 type Served struct {
 	Image string
-	Spare float64 // headroom that tasks that fill beside it may take in all
+	Spare float64 // headroom that tasks that fill beside them may take in all
 }
 
 // AgentViews is an indexed view of the agents that take a task.
--- a/press/press.go
+++ b/press/press.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/benbjohnson/immutable"
 
@@ -19,14 +20,9 @@
 // with their variances.
 type Filter struct {
 	levels  *immutable.Map[notch.TaskRef, level]
-	weights *immutable.Map[pair, weight]
+	weights *immutable.Map[string, row] // by the image that serves
 }
 
-type pair struct{ serving, filling string }
-
-// weight is the headroom that a load of all processors takes.
-type weight struct{ mean, variance float64 }
-
 // The parameters of the filter; headroom has no unit.
 const (
 	priorWeight   = 4.0  // of a pair that was never seen
@@ -44,21 +40,19 @@
 func New() Filter {
 	return Filter{
 		levels:  immutable.NewMap[notch.TaskRef, level](groups{}),
-		weights: immutable.NewMap[pair, weight](pairs{}),
+		weights: immutable.NewMap[string, row](nil),
 	}
 }
 
 // Weight implements [notch.Interplay].
 func (f Filter) Weight(serving, filling string) float64 {
-	w := f.weight(pair{serving, filling})
+	w := f.row(serving).weight(filling)
 	return w.mean + cautious*math.Sqrt(w.variance)
 }
 
-func (f Filter) weight(p pair) weight {
-	if w, ok := f.weights.Get(p); ok {
-		return w
-	}
-	return weight{priorWeight, priorSpread * priorSpread}
+func (f Filter) row(serving string) row {
+	r, _ := f.weights.Get(serving)
+	return r
 }
 
 // Alone implements [notch.Interplay].
@@ -82,33 +76,52 @@
 
 // WithLook implements [notch.Interplay].
 func (f Filter) WithLook(l notch.Look) notch.Interplay {
+	d := draft{Filter: f, rows: map[string]row{}}
 	for _, t := range l.Tails {
-		f = f.withTail(t, l)
+		d.take(t, l)
 	}
-	return f
+	for serving, r := range d.rows {
+		d.weights = d.weights.Set(serving, r)
+	}
+	return d.Filter
+}
+
+// draft is a Filter in the middle of a look, with rows that only it knows. The tails of a
+// look are mostly of few images, and changing a persistent map is dear.
+type draft struct {
+	Filter
+	rows map[string]row
+}
+
+func (d *draft) row(serving string) row {
+	r, ok := d.rows[serving]
+	if !ok {
+		r = slices.Clone(d.Filter.row(serving))
+		d.rows[serving] = r
+	}
+	return r
 }
 
-// withTail divides what a reading differs by from the expected one between the level of
-// its group and the weights of the loads, by how uncertain each is.
-func (f Filter) withTail(t notch.Tail, l notch.Look) Filter {
-	lev := f.level(t.Group, l.At)
+// take divides what a reading differs by from the expected one between the level of its
+// group and the weights of the loads, by how uncertain each is.
+func (d *draft) take(t notch.Tail, l notch.Look) {
+	lev, r := d.level(t.Group, l.At), d.row(t.Image)
 	expected, spread := lev.value, lev.spread+noise(t, l)
 	for _, load := range l.Loads {
-		w := f.weight(pair{t.Image, load.Image})
+		w := r.weight(load.Image)
 		expected -= w.mean * load.Share
 		spread += w.variance * load.Share * load.Share
 	}
 	if t.Headroom < leastHeadroom && expected < leastHeadroom {
-		return f
+		return
 	}
 	surprise := t.Headroom - expected
 	spread = max(spread, surprise*surprise/(mostSurprise*mostSurprise))
-	f.levels = f.levels.Set(t.Group, lev.corrected(surprise, spread))
+	d.levels = d.levels.Set(t.Group, lev.corrected(surprise, spread))
 	for _, load := range l.Loads {
-		p := pair{t.Image, load.Image}
-		f.weights = f.weights.Set(p, f.weight(p).corrected(load.Share, surprise, spread))
+		r = r.put(load.Image, r.weight(load.Image).corrected(load.Share, surprise, spread))
 	}
-	return f
+	d.rows[t.Image] = r
 }
 
 // noise is the variance of a reading.
@@ -117,36 +130,15 @@
 	return part*part + readingGrain*readingGrain + moved*moved
 }
 
-// corrected returns w after a reading beside a load of a share.
-func (w weight) corrected(share, surprise, spread float64) weight {
-	gain := w.variance * share / spread
-	w.mean = max(0, w.mean-gain*surprise)
-	w.variance = max(leastSpread*leastSpread, w.variance-gain*share*w.variance)
-	return w
-}
-
-type pairs struct{}
-
-// Hash implements immutable.Hasher.
-func (pairs) Hash(p pair) uint32 {
-	h := uint64(14695981039346656037)
-	for _, s := range []string{p.serving, p.filling} {
-		for _, c := range []byte(s) {
-			h = (h ^ uint64(c)) * 1099511628211
-		}
-		h *= 31
-	}
-	return uint32(h ^ h>>32)
-}
-
-// Equal implements immutable.Hasher.
-func (pairs) Equal(a, b pair) bool { return a == b }
-
 type groups struct{}
 
 // Hash implements immutable.Hasher.
 func (groups) Hash(t notch.TaskRef) uint32 {
-	return pairs{}.Hash(pair{serving: t.Flow}) ^ uint32(t.Round)<<8 ^ uint32(t.Stage)
+	h := uint64(14695981039346656037)
+	for _, c := range []byte(t.Flow) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return uint32(h^h>>32) ^ uint32(t.Round)<<8 ^ uint32(t.Stage)
 }
 
 // Equal implements immutable.Hasher.
--- a/press/press_test.go
+++ b/press/press_test.go
@@ -9,6 +9,8 @@
 	notch "tamaracknotch"
 )
 
+type pair struct{ serving, filling string }
+
 // world is a made-up truth: what each image that fills takes of the headroom of each
 // image that serves, and how the load of a group swings.
 type world struct {
@@ -65,7 +67,7 @@
 			}
 		}
 		for p, want := range truth.weights {
-			w := in.(Filter).weight(p)
+			w := in.(Filter).row(p.serving).weight(p.filling)
 			if got := w.mean + cautious*math.Sqrt(w.variance); got != in.Weight(p.serving, p.filling) {
 				t.Errorf("seed %d: got weight %.2f, want %.2f", seed, in.Weight(p.serving, p.filling), got)
 			}
