--- a/flow/colocate.go
+++ b/flow/colocate.go
@@ -137,16 +137,16 @@
 	return append(served, more)
 }
 
-// appetite is what a task that fills takes of the headroom of each image that serves
+// cost is what a task that fills takes of the headroom of each image that serves
 // beside it when it goes at its full pace.
-type appetite struct {
+type cost struct {
 	takes []float64 // in the order of the images that serve
 	most  float64
 }
 
-func (s *stepper) appetite(a notch.Agent, served []notch.Served, f notch.LiveRun) appetite {
+func (s *stepper) costOf(a notch.Agent, served []notch.Served, f notch.LiveRun) cost {
 	st := s.stageIs(f.Run)
-	out := appetite{takes: make([]float64, len(served))}
+	out := cost{takes: make([]float64, len(served))}
 	for i, v := range served {
 		out.takes[i] = s.interplay.Weight(v.Image, st.Image) * shareOf(a, st.Size.MilliCPU)
 		out.most = max(out.most, out.takes[i])
@@ -159,30 +159,30 @@
 func (s *stepper) paced(a notch.Agent, l look, served []notch.Served) []int {
 	out := make([]int, len(l.filling))
 	order := make([]int, len(l.filling))
-	wants := make([]appetite, len(l.filling))
+	costs := make([]cost, len(l.filling))
 	for i, f := range l.filling {
-		order[i], wants[i] = i, s.appetite(a, served, f)
+		order[i], costs[i] = i, s.costOf(a, served, f)
 	}
-	slices.SortStableFunc(order, func(i, k int) int { return cmp.Compare(wants[i].most, wants[k].most) })
+	slices.SortStableFunc(order, func(i, k int) int { return cmp.Compare(costs[i].most, costs[k].most) })
 	for _, i := range order {
-		out[i] = takeSpare(served, wants[i])
+		out[i] = takeSpare(served, costs[i])
 	}
 	return out
 }
 
 // takeSpare returns the pace in percent that the headroom left allows one more task, and
 // takes it off the headroom.
-func takeSpare(served []notch.Served, want appetite) int {
+func takeSpare(served []notch.Served, c cost) int {
 	part := 1.0
 	for i, v := range served {
-		part = min(part, v.Spare/max(0.001, want.takes[i]))
+		part = min(part, v.Spare/max(0.001, c.takes[i]))
 	}
 	percent := int(part * paceFull)
 	if percent < paceLeast {
 		return 0
 	}
 	for i, v := range served {
-		served[i].Spare = max(0, v.Spare-part*want.takes[i])
+		served[i].Spare = max(0, v.Spare-part*c.takes[i])
 	}
 	return percent
 }
--- a/press/press.go
+++ b/press/press.go
@@ -8,6 +8,7 @@
 package press
 
 import (
+	"hash/fnv"
 	"math"
 	"slices"
 
@@ -134,11 +135,9 @@
 
 // Hash implements immutable.Hasher.
 func (groups) Hash(t notch.TaskRef) uint32 {
-	h := uint64(14695981039346656037)
-	for _, c := range []byte(t.Flow) {
-		h = (h ^ uint64(c)) * 1099511628211
-	}
-	return uint32(h^h>>32) ^ uint32(t.Round)<<8 ^ uint32(t.Stage)
+	h := fnv.New32a()
+	h.Write([]byte(t.Flow))
+	return h.Sum32() ^ uint32(t.Round)<<8 ^ uint32(t.Stage)
 }
 
 // Equal implements immutable.Hasher.
