Drop a constant that nothing uses

Cause: the room of an agent went, and its share of serving tasks' use stayed behind; staticcheck doesn't report one constant of a group. Change: the line.

--- a/flow/colocate.go
+++ b/flow/colocate.go
@@ -11,7 +11,6 @@
 
 // The control of tasks that fill beside tasks that serve.
 const (
-	servingUse   = 0.55                    // of what tasks that serve reserve, that they use near their peaks
 	keepHeadroom = 1.0                     // of every tail: what its target needs
 	lookAhead    = 700 * time.Millisecond  // for which a pace has to hold
 	overLong     = 700 * time.Millisecond  // over the target, after which nothing may fill
