Engine: reduce consensus events and ticks between the events of a batch

Cause: the control loop took its whole mailbox as one batch and looked at the ticker and at new messages only after it. While it reduced hundreds of events, it sent no heartbeat, and the answers of the replicas, the votes and the outcomes of syncs waited behind jobs, agents' lists and forwarded calls. A tick could also come before a heartbeat that was in the mailbox already.

Now an event has a priority, which the root package states as data. A batch still ends with one flush, so commands still share a sync; a leader flushes at ticks as before.

The order within a priority stays. Across priorities nothing relied on it: messages, links, syncs and front ends post from goroutines of their own. Recovered is of high priority and posted first, so no message comes before it.

Before: order of messages: got [LeaderQuery AppendReply], want [AppendReply LeaderQuery]; after the second command: got notch.CommandSubmitted, want notch.Tick.

--- a/engine/loop.go
+++ b/engine/loop.go
@@ -8,9 +8,15 @@
 
 // loop is a goroutine that owns one state. It blocks until an event or a tick
 // arrives. It then reduces the queued events as one batch and ends the batch with a
-// Flush.
+// Flush. Events of high priority and ticks that become due during the batch wait for
+// one event of the batch at most.
 type loop struct {
-	events      *mailbox[notch.Body]
+	state       notch.State // owned by the goroutine
+	seed        uint64
+	clock       notch.Clock
+	execute     func(notch.Effect)
+	events      *mailbox[notch.Body] // of normal priority
+	urgent      *mailbox[notch.Body] // of high priority
 	inspections *mailbox[func(notch.State)]
 	done        chan struct{}
 }
@@ -18,45 +24,75 @@
 // newLoop starts the goroutine. It passes each effect to execute, which must not
 // block.
 func newLoop(state notch.State, clock notch.Clock, seed uint64, tick time.Duration, execute func(notch.Effect)) *loop {
-	l := &loop{events: newMailbox[notch.Body](), inspections: newMailbox[func(notch.State)](), done: make(chan struct{})}
-	reduce := func(b notch.Body) {
-		seed = notch.HashSeed(seed)
-		var effects []notch.Effect
-		state, effects = notch.Step(state, notch.Event{At: clock.Now(), UnixMilli: clock.UnixMilli(), Seed: seed, Body: b})
-		for _, f := range effects {
-			execute(f)
-		}
+	l := &loop{
+		state: state, seed: seed, clock: clock, execute: execute,
+		events: newMailbox[notch.Body](), urgent: newMailbox[notch.Body](),
+		inspections: newMailbox[func(notch.State)](), done: make(chan struct{}),
 	}
 	go func() {
 		defer close(l.done)
 		ticker := time.NewTicker(tick)
 		defer ticker.Stop()
-		for {
+		for closed := false; !closed; {
 			select {
 			case <-ticker.C:
-				reduce(notch.Tick{})
+				l.reduceUrgent()
+				l.reduce(notch.Tick{})
 			case <-l.inspections.ready:
-				pending, _ := l.inspections.take()
-				for _, inspect := range pending {
-					inspect(state)
-				}
+				l.inspectState()
 				continue
+			case <-l.urgent.ready:
 			case <-l.events.ready:
 			}
-			batch, closed := l.events.take()
-			for _, b := range batch {
-				reduce(b)
-			}
-			reduce(notch.Flush{})
-			if closed {
-				return
-			}
+			closed = l.reduceBatch(ticker.C)
 		}
 	}()
 	return l
 }
 
-func (l *loop) post(b notch.Body) { l.events.put(b) }
+// reduceBatch reduces the queued events and a Flush. It returns whether the loop was
+// closed before.
+func (l *loop) reduceBatch(ticks <-chan time.Time) (closed bool) {
+	batch, closed := l.events.take()
+	l.reduceUrgent()
+	for _, b := range batch {
+		l.reduce(b)
+		l.reduceUrgent()
+		select {
+		case <-ticks:
+			l.reduce(notch.Tick{})
+		default:
+		}
+	}
+	l.reduce(notch.Flush{})
+	return closed
+}
+
+// reduceUrgent reduces the queued events of high priority.
+func (l *loop) reduceUrgent() {
+	pending, _ := l.urgent.take()
+	for _, b := range pending {
+		l.reduce(b)
+	}
+}
+
+func (l *loop) reduce(b notch.Body) {
+	l.seed = notch.HashSeed(l.seed)
+	e := notch.Event{At: l.clock.Now(), UnixMilli: l.clock.UnixMilli(), Seed: l.seed, Body: b}
+	var effects []notch.Effect
+	l.state, effects = notch.Step(l.state, e)
+	for _, f := range effects {
+		l.execute(f)
+	}
+}
+
+func (l *loop) post(b notch.Body) {
+	if notch.PriorityOf(b) == notch.HighPriority {
+		l.urgent.put(b)
+		return
+	}
+	l.events.put(b)
+}
 
 // inspect calls f with the current state on the loop's goroutine and waits until f
 // returns. It returns false if the loop has stopped.
@@ -74,7 +110,16 @@
 	}
 }
 
+func (l *loop) inspectState() {
+	pending, _ := l.inspections.take()
+	for _, inspect := range pending {
+		inspect(l.state)
+	}
+}
+
+// close stops the loop after it has reduced the queued events.
 func (l *loop) close() {
+	l.urgent.close()
 	l.events.close()
 	<-l.done
 }
--- /dev/null
+++ b/engine/loop_test.go
@@ -0,0 +1,130 @@
+package engine
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	notch "tamaracknotch"
+)
+
+// testClock is a clock that stands still.
+type testClock struct{}
+
+func (testClock) Now() notch.Time  { return notch.Time(time.Hour) }
+func (testClock) UnixMilli() int64 { return 0 }
+
+// testTick is the time between the ticks of a test's loop.
+const testTick = 5 * time.Millisecond
+
+// recorder is a part that records the events it receives. Each CommandSubmitted blocks it
+// until the test sends to release.
+type recorder struct {
+	mu       *sync.Mutex
+	received *[]notch.Body
+	started  chan struct{}
+	release  chan struct{}
+}
+
+func newRecorder() recorder {
+	return recorder{mu: &sync.Mutex{}, received: &[]notch.Body{}, started: make(chan struct{}), release: make(chan struct{})}
+}
+
+func (r recorder) Step(e notch.Event) (notch.Part, []notch.Effect) {
+	r.mu.Lock()
+	*r.received = append(*r.received, e.Body)
+	r.mu.Unlock()
+	if _, ok := e.Body.(notch.CommandSubmitted); ok {
+		r.started <- struct{}{}
+		<-r.release
+	}
+	return r, nil
+}
+
+// receivedOf returns the received events that keep selects, in their order.
+func (r recorder) receivedOf(keep func(notch.Body) bool) []notch.Body {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(*r.received), func(b notch.Body) bool { return !keep(b) })
+}
+
+func is[T notch.Body](b notch.Body) bool {
+	_, ok := b.(T)
+	return ok
+}
+
+func isEither[T, U notch.Body](b notch.Body) bool { return is[T](b) || is[U](b) }
+
+func startTestLoop(r recorder, tick time.Duration) *loop {
+	return newLoop(notch.NewState(r), testClock{}, 1, tick, func(notch.Effect) {})
+}
+
+// A leader whose loop had a long batch to reduce lost contact with its quorum, because the
+// replicas' answers waited behind the whole batch.
+func TestConsensusMessagePassesQueuedEvents(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, time.Hour)
+	first, second := notch.CommandSubmitted{Ticket: 1}, notch.CommandSubmitted{Ticket: 2}
+	reply := notch.MessageReceived{From: "b", Message: notch.AppendReply{Term: 1}}
+	l.post(first)
+	<-r.started
+	l.post(second)
+	l.post(notch.MessageReceived{From: "b", Message: notch.LeaderQuery{}})
+	r.release <- struct{}{}
+	<-r.started
+	l.post(reply) // while the loop reduces a batch of two events
+	r.release <- struct{}{}
+	l.close()
+
+	got := r.receivedOf(is[notch.MessageReceived])
+	want := []notch.Body{reply, notch.MessageReceived{From: "b", Message: notch.LeaderQuery{}}}
+	if !slices.Equal(got, want) {
+		t.Errorf("order of messages: got %+v, want %+v", got, want)
+	}
+}
+
+// A leader sent no heartbeats while its loop reduced a long batch, because ticks waited for
+// the end of the batch.
+func TestTickPassesQueuedEvents(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, testTick)
+	l.post(notch.CommandSubmitted{Ticket: 1})
+	<-r.started
+	l.post(notch.CommandSubmitted{Ticket: 2})
+	l.post(notch.CommandSubmitted{Ticket: 3})
+	r.release <- struct{}{}
+	<-r.started
+	time.Sleep(2 * testTick) // a tick is due before the next event of the batch
+	r.release <- struct{}{}
+	<-r.started
+	r.release <- struct{}{}
+	l.close()
+
+	got := r.receivedOf(isEither[notch.CommandSubmitted, notch.Tick])
+	second := slices.Index(got, notch.Body(notch.CommandSubmitted{Ticket: 2}))
+	if got[second+1] != (notch.Tick{}) {
+		t.Errorf("after the second command: got %T, want %T", got[second+1], notch.Tick{})
+	}
+}
+
+// The events of a burst share one flush, and so one sync of the journal, even if events of high
+// priority arrive in between.
+func TestBurstSharesOneFlush(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, time.Hour)
+	l.post(notch.CommandSubmitted{Ticket: 1})
+	<-r.started
+	for range 100 {
+		l.post(notch.ServerAnnounced{})
+		l.post(notch.Persisted{})
+	}
+	r.release <- struct{}{}
+	l.close()
+
+	received := r.receivedOf(isEither[notch.ServerAnnounced, notch.Flush])
+	burst := received[slices.IndexFunc(received, is[notch.ServerAnnounced]):]
+	if got, want := slices.IndexFunc(burst, is[notch.Flush]), 100; got != want {
+		t.Errorf("events of the burst before its first flush: got %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/priority.go
@@ -0,0 +1,34 @@
+package notch
+
+// Priority is the class of an event. A loop reduces the queued events of a higher
+// priority first, and those of equal priority in the order in which they were posted.
+type Priority uint8
+
+// The priorities of events.
+const (
+	NormalPriority Priority = iota
+	// HighPriority is that of the events by which replicas elect a leader, keep it and
+	// commit entries. Each costs little and causes a bounded number of others, so they
+	// don't keep normal events from being reduced.
+	HighPriority
+)
+
+// PriorityOf returns the priority of an event. All events that restore or report the
+// state of the journal have the same one, because their order matters.
+func PriorityOf(b Body) Priority {
+	switch b := b.(type) {
+	case Recovered, Persisted, PersistFailed, SnapshotSaved:
+		return HighPriority
+	case MessageReceived:
+		return priorityOfMessage(b.Message)
+	}
+	return NormalPriority
+}
+
+func priorityOfMessage(m Message) Priority {
+	switch m.(type) {
+	case VoteRequest, VoteReply, AppendRequest, AppendReply, InstallSnapshot, TimeoutNow:
+		return HighPriority
+	}
+	return NormalPriority
+}
