Consensus: don't count the time for which a replica didn't run as silence

Cause: both timeouts are measured on the clock from the last message. A replica that doesn't run sends no heartbeats, so there are no answers to wait for, and it hasn't read what the others sent.

Now a tick that comes late by more than a heartbeat interval postpones both timeouts by the excess, never beyond a whole timeout from now, so a replica that stands still again and again still steps down or campaigns. Leases and orders depend on the time of contact, which stays as it is: a leader that was replaced meanwhile grants nothing.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -84,6 +84,7 @@
 	votes          []string // names of the voters that granted their vote
 	electionDue    notch.Time
 	lastHeardAt    notch.Time // when a leader's message last arrived
+	lastTickAt     notch.Time // zero before the first tick
 	transferTarget bool       // the leader asked this replica to take over
 
 	// The leader's state.
@@ -93,6 +94,7 @@
 	readyAt         notch.Time // when that entry was committed; zero before
 	quorumContactAt notch.Time // send time of the latest message that a quorum answered
 	electedAt       notch.Time
+	quorumDue       notch.Time      // when the leader steps down, unless a quorum answers later messages
 	desiredVoters   []string        // names of the hosts in the pool control
 	linkedReplicas  []notch.Replica // replicas on daemons that were linked; with targetVoters, only those still linked
 	stopping        bool            // a graceful shutdown was requested
@@ -227,6 +229,7 @@
 }
 
 func (s *stepper) tick() {
+	s.excludeStall()
 	if s.role == roleLeader {
 		s.leaderTick()
 		return
@@ -240,6 +243,19 @@
 	s.campaign(rolePreCandidate)
 }
 
+// excludeStall postpones the timeouts by the time for which this replica didn't run. It sent
+// nothing in that time, and may not have received yet what the others sent.
+func (s *stepper) excludeStall() {
+	stall := s.now.Sub(s.lastTickAt) - s.timing.HeartbeatInterval
+	firstTick := s.lastTickAt == 0
+	s.lastTickAt = s.now
+	if firstTick || stall <= 0 {
+		return
+	}
+	s.electionDue = min(s.electionDue.Add(stall), s.now.Add(2*s.timing.ElectionTimeout))
+	s.quorumDue = min(s.quorumDue.Add(stall), s.now.Add(s.timing.ElectionTimeout))
+}
+
 // resetElection restarts the randomized election timeout.
 func (s *stepper) resetElection() {
 	span := uint64(s.timing.ElectionTimeout)
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -173,6 +173,7 @@
 	s.transferTarget = false
 	s.readyAt, s.quorumContactAt = 0, s.now
 	s.electedAt = s.now
+	s.quorumDue = s.now.Add(s.timing.ElectionTimeout)
 	s.setLeader(s.self.Name)
 	s.termStartIndex = s.log.lastIndex() + 1
 	s.sentToJournalIndex = s.log.lastIndex()
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -186,7 +186,7 @@
 const snapshotTimeoutResends = 10
 
 func (s *stepper) leaderTick() {
-	if s.now.Sub(s.quorumContactAt) > s.timing.ElectionTimeout && s.now.Sub(s.electedAt) > s.timing.ElectionTimeout {
+	if s.quorumDue.Before(s.now) {
 		// A quorum may already have elected another leader.
 		s.logMessage("lost contact with a quorum")
 		s.stepDown("")
@@ -404,6 +404,7 @@
 	contact := times[(len(times)-1)/2]
 	if contact > s.quorumContactAt {
 		s.quorumContactAt = contact
+		s.quorumDue = max(s.quorumDue, contact.Add(s.timing.ElectionTimeout))
 		s.emitLeadership()
 	}
 }
--- a/script/step.go
+++ b/script/step.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -81,11 +82,12 @@
 //	parts NAME...            creates the state from parts
 //	pass DURATION            lets time pass
 //	event NAME [JSON]        applies an event
+//	ticks N DURATION         lets N ticks occur, each DURATION after the one before
 //	message FROM NAME [JSON] applies a message from another daemon
 //	commit INDEX NAME [JSON] applies a committed command
 //
 // NAME is the name of a type, and JSON an object with its fields by name.
-// Event, message and commit print the effects, one per line, or "none", which the
+// Event, ticks, message and commit print the effects, one per line, or "none", which the
 // command stdout then compares.
 func StepCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	with := func(f func(s *stepState, ts *testscript.TestScript, args []string)) func(*testscript.TestScript, bool, []string) {
@@ -109,6 +111,16 @@
 		"event": with(func(s *stepState, ts *testscript.TestScript, args []string) {
 			s.step(ts, parseValue[notch.Body](ts, args))
 		}),
+		"ticks": with(func(s *stepState, ts *testscript.TestScript, args []string) {
+			n, err := strconv.Atoi(args[0])
+			ts.Check(err)
+			interval, err := time.ParseDuration(args[1])
+			ts.Check(err)
+			for range n {
+				s.now = s.now.Add(interval)
+				s.step(ts, notch.Tick{})
+			}
+		}),
 		"message": with(func(s *stepState, ts *testscript.TestScript, args []string) {
 			s.step(ts, notch.MessageReceived{From: args[0], Message: parseValue[notch.Message](ts, args[1:])})
 		}),
