--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -79,6 +79,7 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, log: log, registry: registry}
+	registerUsage(registry)
 	if s.Protocol != OwnProtocol {
 		newAdapter, ok := adapters[s.Protocol]
 		if !ok {
