flow: each plan reports what it looked at

A plan with a task that could start emits PlanMade: tasks ready and placed, stages without an agent, agents examined, and whether it stopped at its limit. No decision changes.

--- a/effect.go
+++ b/effect.go
@@ -143,6 +143,24 @@
 	Value string
 }
 
+// PlanMade describes a plan, which looked for an agent for each task that could start. It is for
+// metrics and logs only.
+type PlanMade struct {
+	Ready              int  // tasks that could start
+	Placed             int  // tasks that got an agent
+	StagesWithoutAgent int  // stages with a task that no agent had room for
+	AgentsExamined     int  // an agent counts once for each task that it was examined for
+	Incomplete         bool // the plan stopped at the limit of its placements
+}
+
+// Counts returns the counters that p adds to.
+func (p PlanMade) Counts() []Count {
+	return []Count{
+		{"plans", 1}, {"plan-tasks-ready", int64(p.Ready)}, {"plan-tasks-placed", int64(p.Placed)},
+		{"plan-stages-without-agent", int64(p.StagesWithoutAgent)}, {"plan-agents-examined", int64(p.AgentsExamined)},
+	}
+}
+
 func (Emit) effect()         {}
 func (Send) effect()         {}
 func (Connect) effect()      {}
@@ -162,3 +180,4 @@
 func (Refuse) effect()       {}
 func (Count) effect()        {}
 func (LogMessage) effect()   {}
+func (PlanMade) effect()     {}
--- a/fake/fake.go
+++ b/fake/fake.go
@@ -118,6 +118,10 @@
 	switch f := f.(type) {
 	case notch.Count:
 		s.Counters[f.Name] += f.Delta
+	case notch.PlanMade:
+		for _, c := range f.Counts() {
+			s.Counters[c.Name] += c.Delta
+		}
 	case notch.LogMessage:
 		s.LogMessages = append(s.LogMessages, fmt.Sprintf("%v %s: %s", s.Now(), n.Self.Name, f.Text))
 	case notch.Answer:
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -92,11 +92,12 @@
 
 func declaredEstimate(st notch.Stage) time.Duration { return st.Estimate }
 
-// assign chooses an agent for each task that fits on one.
+// assign chooses an agent for each task that fits on one, and reports the plan.
 func (s *stepper) assign(tasks []readyTask) []notch.RunPlacement {
 	pools := map[string]*agentViews{}
 	placer := s.policy.Placer(s.colocationModel)
 	full := map[notch.TaskRef]bool{} // stages with a task that fitted on no agent
+	made := notch.PlanMade{Ready: len(tasks)}
 	var out []notch.RunPlacement
 	for i, t := range tasks {
 		stage := notch.TaskRef{Flow: t.ref.Flow, Round: t.ref.Round, Stage: t.ref.Stage}
@@ -117,10 +118,17 @@
 		}
 		out = append(out, notch.RunPlacement{Task: t.ref, After: t.latestRun, Life: v.assign(k)})
 		if len(out) == maxPlacements {
-			s.needsPlan = true
+			s.needsPlan, made.Incomplete = true, true
 			break
 		}
 	}
+	made.Placed, made.StagesWithoutAgent = len(out), len(full)
+	for _, v := range pools {
+		made.AgentsExamined += v.examined
+	}
+	if made.Ready > 0 {
+		s.out = append(s.out, made)
+	}
 	return out
 }
 
--- a/flow/views.go
+++ b/flow/views.go
@@ -14,6 +14,7 @@
 	runsByStage map[notch.TaskRef]map[string]int // number of runs by stage and agent id; the Index of the stage is 0
 	stageRef    notch.TaskRef
 	stage       notch.Stage
+	examined    int // number of agents that placers have looked at, once for each look
 }
 
 func (s *stepper) agentViewsOf(pool notch.Pool) *agentViews {
@@ -86,6 +87,7 @@
 
 // At implements [notch.AgentViews].
 func (v *agentViews) At(i int) (notch.AgentView, bool) {
+	v.examined++
 	view := v.agents[i]
 	if v.stage.Label != "" && !slices.Contains(view.Agent.Labels, v.stage.Label) {
 		return view, false
