engine: measure where the control loop spends its time

The control loop measures the time and number of events by kind, how long the oldest event of a batch waited, and the size and time of batches: one clock reading an event (the one it had), two more a batch. An event that made a plan counts as a plan. When the oldest event waited 200 ms or longer, one line a second at most names the wait, the queue, the share of time in the loop, processor time, collection, and the kinds that took most. Calls to agents have a count under way and a latency distribution by kind of order. No decision changes.

--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -25,7 +25,7 @@
 	return log
 }
 
-// sink counts in the metrics registry and writes log messages.
+// sink counts and measures in the metrics registry and writes log messages.
 type sink struct {
 	registry metrics.Registry
 	log      *logrus.Logger
@@ -37,6 +37,21 @@
 	metrics.GetOrRegisterCounter(name, s.registry).Inc(delta)
 }
 
+// Value implements engine.Sink.
+func (s sink) Value(name string, v int64) {
+	s.registry.GetOrRegister(name, newHistogram).(metrics.Histogram).Update(v)
+}
+
+// sampleSize is the number of recent values of which a histogram shows the distribution.
+const sampleSize = 1028
+
+// sampleAlpha makes a histogram favour the values of the last five minutes.
+const sampleAlpha = 0.015
+
+func newHistogram() metrics.Histogram {
+	return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+}
+
 // Log implements engine.Sink.
 func (s sink) Log(m notch.LogMessage) {
 	fields := logrus.Fields{"daemon": s.daemon}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -12,15 +12,21 @@
 	"github.com/pkg/errors"
 
 	notch "tamaracknotch"
+	"tamaracknotch/usage"
 )
 
 // tickInterval is the time between two ticks, and thus the resolution of every
 // timeout.
 const tickInterval = 50 * time.Millisecond
 
-// Sink receives the counts and log messages that the reducers produce.
+// Sink receives the counts and log messages that the reducers produce, and what the
+// engine measures. Its methods may be called from several goroutines at once.
 type Sink interface {
+	// Count adds delta to a counter.
 	Count(name string, delta int64)
+	// Value adds a value to a distribution.
+	Value(name string, v int64)
+	// Log writes a log message.
 	Log(m notch.LogMessage)
 }
 
@@ -41,6 +47,7 @@
 type Engine struct {
 	cfg         Config
 	control     *loop
+	meter       *loopMeter // of the control loop
 	lanes       []*loop
 	journal     *journaler
 	lastTicket  atomic.Uint64
@@ -57,17 +64,18 @@
 // held, or nil.
 func New(cfg Config, recovered *notch.Recovered) *Engine {
 	e := &Engine{cfg: cfg, calls: map[uint64]chan notch.Effect{}, requests: map[uint64]chan notch.Effect{}}
+	e.meter = newLoopMeter(cfg.Sink, cfg.Clock.Now(), usage.Read)
 	e.tables.Store(&notch.Tables{})
 	// Tickets start at a random value, so that a late answer to an earlier process
 	// of this daemon doesn't match a call of this one.
 	e.lastTicket.Store(notch.HashSeed(cfg.Seed) >> 1)
 	if cfg.Journal != nil {
-		e.journal = newJournaler(cfg.Journal, e.Post, e.send)
+		e.journal = newJournaler(cfg.Journal, cfg.Clock, e.Post, e.send)
 	}
-	e.control = newLoop(cfg.Control, cfg.Clock, notch.HashSeed(cfg.Seed), tickInterval, e.executeControl)
+	e.control = newLoop(cfg.Control, cfg.Clock, notch.HashSeed(cfg.Seed), tickInterval, e.meter, e.executeControl)
 	for i, state := range cfg.Lanes {
 		execute := func(f notch.Effect) { e.executeLane(i, f) }
-		e.lanes = append(e.lanes, newLoop(state, cfg.Clock, notch.HashSeed(cfg.Seed+uint64(i)+1), tickInterval, execute))
+		e.lanes = append(e.lanes, newLoop(state, cfg.Clock, notch.HashSeed(cfg.Seed+uint64(i)+1), tickInterval, nil, execute))
 	}
 	if recovered != nil {
 		e.Post(*recovered)
@@ -113,6 +121,8 @@
 		e.callAgent(f)
 	case notch.ToLanes:
 		e.postToLanes(f.Body)
+	case notch.PlanMade:
+		e.meter.planMade(f)
 	default:
 		e.observe(f)
 	}
@@ -126,12 +136,21 @@
 		return
 	}
 	sent := e.cfg.Clock.Now()
+	e.cfg.Sink.Count(metricCallsUnderWay, 1)
 	go func() {
 		a := e.cfg.Agents.Call(f)
 		e.Post(notch.AgentAnswered{Life: f.Agent.Incarnation(), Order: f.Order, SentAt: sent, Answer: a})
+		e.cfg.Sink.Count(metricCallsUnderWay, -1)
+		e.cfg.Sink.Value(metricCallTimePrefix+string(f.Order.Kind), e.cfg.Clock.Now().Sub(sent).Microseconds())
 	}()
 }
 
+// The names of the metrics of calls to agents.
+const (
+	metricCallsUnderWay  = "agent-calls-under-way"
+	metricCallTimePrefix = "agent-call-us-" // and the kind of order; from the effect to the answer
+)
+
 // postToLanes queues an event for every lane. It keeps what Tables and Leased
 // return up to date.
 func (e *Engine) postToLanes(b notch.Body) {
--- a/engine/journaler.go
+++ b/engine/journaler.go
@@ -11,17 +11,17 @@
 	done    chan struct{}
 }
 
-func newJournaler(j notch.Journal, post func(notch.Body), send func(notch.Send)) *journaler {
-	w := &journaler{effects: newMailbox[notch.Effect](), done: make(chan struct{})}
+func newJournaler(j notch.Journal, clock notch.Clock, post func(notch.Body), send func(notch.Send)) *journaler {
+	w := &journaler{effects: newMailbox[notch.Effect](clock), done: make(chan struct{})}
 	go func() {
 		defer close(w.done)
 		for range w.effects.ready {
-			batch, closed := w.effects.take()
-			if err := syncBatch(j, batch, post, send); err != nil {
+			b := w.effects.take()
+			if err := syncBatch(j, b.items, post, send); err != nil {
 				post(notch.PersistFailed{Reason: err.Error()})
 				return
 			}
-			if closed {
+			if b.closed {
 				return
 			}
 		}
--- a/engine/loop.go
+++ b/engine/loop.go
@@ -16,17 +16,29 @@
 }
 
 // newLoop starts the goroutine. It passes each effect to execute, which must not
-// block.
-func newLoop(state notch.State, clock notch.Clock, seed uint64, tick time.Duration, execute func(notch.Effect)) *loop {
-	l := &loop{events: newMailbox[notch.Body](), inspections: newMailbox[func(notch.State)](), done: make(chan struct{})}
+// block. The meter is nil if the loop isn't measured.
+func newLoop(state notch.State, clock notch.Clock, seed uint64, tick time.Duration, meter *loopMeter, execute func(notch.Effect)) *loop {
+	l := &loop{events: newMailbox[notch.Body](clock), inspections: newMailbox[func(notch.State)](clock), done: make(chan struct{})}
 	reduce := func(b notch.Body) {
 		seed = notch.HashSeed(seed)
+		now := clock.Now()
+		meter.beginEvent(now, b)
 		var effects []notch.Effect
-		state, effects = notch.Step(state, notch.Event{At: clock.Now(), UnixMilli: clock.UnixMilli(), Seed: seed, Body: b})
+		state, effects = notch.Step(state, notch.Event{At: now, UnixMilli: clock.UnixMilli(), Seed: seed, Body: b})
 		for _, f := range effects {
 			execute(f)
 		}
 	}
+	reduceQueued := func() (closed bool) {
+		b := l.events.take()
+		meter.beginBatch(clock.Now(), len(b.items), b.oldestAt)
+		for _, body := range b.items {
+			reduce(body)
+		}
+		reduce(notch.Flush{})
+		meter.endBatch(clock.Now())
+		return b.closed
+	}
 	go func() {
 		defer close(l.done)
 		ticker := time.NewTicker(tick)
@@ -36,19 +48,13 @@
 			case <-ticker.C:
 				reduce(notch.Tick{})
 			case <-l.inspections.ready:
-				pending, _ := l.inspections.take()
-				for _, inspect := range pending {
+				for _, inspect := range l.inspections.take().items {
 					inspect(state)
 				}
 				continue
 			case <-l.events.ready:
 			}
-			batch, closed := l.events.take()
-			for _, b := range batch {
-				reduce(b)
-			}
-			reduce(notch.Flush{})
-			if closed {
+			if reduceQueued() {
 				return
 			}
 		}
