--- a/effect.go
+++ b/effect.go
@@ -149,7 +149,7 @@
 	Ready              int  // tasks that could start
 	Placed             int  // tasks that got an agent
 	StagesWithoutAgent int  // stages with a task that no agent had room for
-	AgentsExamined     int  // an agent counts once for each task that it was examined for
+	AgentsExamined     int  // number of times that an agent was examined for a task
 	Incomplete         bool // the plan stopped at the limit of its placements
 }
 
