--- a/engine/loop.go
+++ b/engine/loop.go
@@ -14,6 +14,7 @@
 	state       notch.State // owned by the goroutine
 	seed        uint64
 	clock       notch.Clock
+	meter       *loopMeter // nil: the loop isn't measured
 	execute     func(notch.Effect)
 	events      *mailbox[notch.Body] // of normal priority
 	urgent      *mailbox[notch.Body] // of high priority
@@ -22,12 +23,12 @@
 }
 
 // newLoop starts the goroutine. It passes each effect to execute, which must not
-// block.
-func newLoop(state notch.State, clock notch.Clock, seed uint64, tick time.Duration, execute func(notch.Effect)) *loop {
+// block. The meter is nil if the loop isn't measured.
+func newLoop(state notch.State, clock notch.Clock, seed uint64, tick time.Duration, meter *loopMeter, execute func(notch.Effect)) *loop {
 	l := &loop{
-		state: state, seed: seed, clock: clock, execute: execute,
-		events: newMailbox[notch.Body](), urgent: newMailbox[notch.Body](),
-		inspections: newMailbox[func(notch.State)](), done: make(chan struct{}),
+		state: state, seed: seed, clock: clock, meter: meter, execute: execute,
+		events: newMailbox[notch.Body](clock), urgent: newMailbox[notch.Body](clock),
+		inspections: newMailbox[func(notch.State)](clock), done: make(chan struct{}),
 	}
 	go func() {
 		defer close(l.done)
@@ -53,9 +54,10 @@
 // reduceBatch reduces the queued events and a Flush. It returns whether the loop was
 // closed before.
 func (l *loop) reduceBatch(ticks <-chan time.Time) (closed bool) {
-	batch, closed := l.events.take()
+	queued := l.events.take()
+	l.meter.beginBatch(l.clock.Now(), len(queued.items), queued.oldestAt)
 	l.reduceUrgent()
-	for _, b := range batch {
+	for _, b := range queued.items {
 		l.reduce(b)
 		l.reduceUrgent()
 		select {
@@ -65,22 +67,23 @@
 		}
 	}
 	l.reduce(notch.Flush{})
-	return closed
+	l.meter.endBatch(l.clock.Now())
+	return queued.closed
 }
 
 // reduceUrgent reduces the queued events of high priority.
 func (l *loop) reduceUrgent() {
-	pending, _ := l.urgent.take()
-	for _, b := range pending {
+	for _, b := range l.urgent.take().items {
 		l.reduce(b)
 	}
 }
 
 func (l *loop) reduce(b notch.Body) {
 	l.seed = notch.HashSeed(l.seed)
-	e := notch.Event{At: l.clock.Now(), UnixMilli: l.clock.UnixMilli(), Seed: l.seed, Body: b}
+	now := l.clock.Now()
+	l.meter.beginEvent(now, b)
 	var effects []notch.Effect
-	l.state, effects = notch.Step(l.state, e)
+	l.state, effects = notch.Step(l.state, notch.Event{At: now, UnixMilli: l.clock.UnixMilli(), Seed: l.seed, Body: b})
 	for _, f := range effects {
 		l.execute(f)
 	}
@@ -111,8 +114,7 @@
 }
 
 func (l *loop) inspectState() {
-	pending, _ := l.inspections.take()
-	for _, inspect := range pending {
+	for _, inspect := range l.inspections.take().items {
 		inspect(l.state)
 	}
 }
--- a/engine/loop_test.go
+++ b/engine/loop_test.go
@@ -57,7 +57,7 @@
 func isEither[T, U notch.Body](b notch.Body) bool { return is[T](b) || is[U](b) }
 
 func startTestLoop(r recorder, tick time.Duration) *loop {
-	return newLoop(notch.NewState(r), testClock{}, 1, tick, func(notch.Effect) {})
+	return newLoop(notch.NewState(r), testClock{}, 1, tick, nil, func(notch.Effect) {})
 }
 
 // A leader whose loop had a long batch to reduce lost contact with its quorum, because the
