Plans score the agents once for all tasks of a group

Callers saw runs given up and leaders that changed every second or two on deployments of 350 and 490 agents. Cause, a part of it: a plan listed and sorted every waiting task, looked at all agents for each task that it placed, and collected the loads and service images of each agent from all its runs, with map look-ups for each. A leader that used up its processor time lost its quorum.

Now a plan ranks groups (a stage of a round) by a count of waiting tasks that the workflow keeps, and the placer scores the agents once for a group, then again only the agent that got a task (RunPlacer returns AgentScores). What an agent's runs occupy is kept with the agent. Images are added to a view, and headroom is estimated, only when a group is scored that depends on them.

AgentView.SameStageRuns is gone; no placer read it.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -11,8 +11,8 @@
 // agents is a fixed list of agents.
 type agents []notch.AgentView
 
-func (a agents) Len() int                         { return len(a) }
-func (a agents) At(i int) (notch.AgentView, bool) { return a[i], true }
+func (a agents) Len() int                          { return len(a) }
+func (a agents) At(i int) (*notch.AgentView, bool) { return &a[i], true }
 
 func agent(free int64, serviceImages []string, loads []notch.OpportunisticLoad) notch.AgentView {
 	var services []notch.ServiceImage
@@ -50,11 +50,11 @@
 	}
 	for _, c := range cases {
 		for seed := range uint64(5) {
-			if got := (ByScore{ColocationModel: colocation.New()}).Place(notch.RunRequest{Stage: c.stage}, c.agents, seed); got != c.want {
+			if got := (ByScore{ColocationModel: colocation.New()}).Score(c.stage, c.agents).Next(0, seed); got != c.want {
 				t.Errorf("%s: got %d, want %d", c.name, got, c.want)
 			}
 		}
-		if got := (FirstFit{}).Place(notch.RunRequest{Stage: c.stage}, c.agents, 0); got != c.wantNaive {
+		if got := (FirstFit{}).Score(c.stage, c.agents).Next(0, 0); got != c.wantNaive {
 			t.Errorf("%s, first fit: got %d, want %d", c.name, got, c.wantNaive)
 		}
 	}
@@ -81,8 +81,7 @@
 		{"few free processors, but it has waited", longRunning, maxWaitForReserve, agents{full, full, full, agent(16000, nil, nil)}, 3},
 	}
 	for _, c := range cases {
-		r := notch.RunRequest{Stage: c.stage, Waited: c.waited}
-		if got := (ByScore{ColocationModel: colocation.New()}).Place(r, c.agents, 1); got != c.want {
+		if got := (ByScore{ColocationModel: colocation.New()}).Score(c.stage, c.agents).Next(c.waited, 1); got != c.want {
 			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
 		}
 	}
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -187,40 +187,12 @@
 		r := notch.Run{Number: t.Latest + 1, Life: pl.Life, Token: c.Token, Since: at}
 		s.putWorkflow(w.WithTask(pl.Task, t.WithRun(r), at))
 		ref := notch.RunRef{Task: pl.Task, Number: r.Number}
-		s.addRun(a.ID, ref, w.Flow.Stages[pl.Task.Stage])
+		s.addRun(a.ID, ref, &w.Flow.Stages[pl.Task.Stage])
 		s.startRun(a, w.Flow.Spec, ref, r, t.Saved)
 	}
 	s.count("runs-placed", len(c.Placements))
 }
 
-// addRun records a run on an agent and reserves its resources.
-func (s *stepper) addRun(agent string, ref notch.RunRef, st notch.Stage) {
-	runs, _ := s.runsByAgent.Get(agent)
-	s.runsByAgent = s.runsByAgent.Set(agent, append(slices.Clip(runs), ref))
-	s.reserve(agent, st, 1)
-}
-
-// removeRun removes a run from an agent and releases its resources.
-func (s *stepper) removeRun(agent string, ref notch.RunRef, st notch.Stage) {
-	runs, _ := s.runsByAgent.Get(agent)
-	s.runsByAgent = s.runsByAgent.Set(agent, slices.DeleteFunc(slices.Clone(runs), func(r notch.RunRef) bool { return r == ref }))
-	s.reserve(agent, st, -1)
-}
-
-// reserve adds what a task of a stage reserves to the agent's reservations, or subtracts it if
-// sign is -1.
-func (s *stepper) reserve(agent string, st notch.Stage, sign int64) {
-	size := st.Reserved()
-	used, _ := s.reserved.Get(agent)
-	s.reserved = s.reserved.Set(agent, used.Plus(notch.Resources{
-		MilliCPU: sign * size.MilliCPU, MemoryMB: sign * size.MemoryMB, Accelerators: sign * size.Accelerators,
-	}))
-	if st.Fills {
-		milliCPU, _ := s.opportunisticCPU.Get(agent)
-		s.opportunisticCPU = s.opportunisticCPU.Set(agent, milliCPU+sign*st.Size.MilliCPU)
-	}
-}
-
 func (s *stepper) endRuns(c notch.EndRuns, at notch.Time) {
 	for _, e := range c.Ends {
 		s.endRun(c.Life, e, at)
@@ -249,7 +221,7 @@
 	if !ok || r.Life.Agent != incarnation.Agent {
 		return
 	}
-	s.removeRun(incarnation.Agent, e.Run, st)
+	s.removeRun(incarnation.Agent, e.Run)
 	s.runOrders = s.runOrders.Delete(e.Run)
 	s.cpuLimitsByRun = s.cpuLimitsByRun.Delete(e.Run)
 	next := w.WithTask(e.Run.Task, s.taskAfterEnd(w, st, t.WithoutRun(r.Number), e, at), at)
--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -29,8 +29,8 @@
 	s.step(notch.Leadership{Leading: true, Term: 2, Ready: 1, Contact: s.now})
 }
 
-func newTestLeader(agents int) *testLeader {
-	s := &testLeader{state: notch.NewState(New(notch.Daemon{Name: "a"})), now: notch.Time(time.Hour)}
+func newTestLeader(agents int, opts ...Option) *testLeader {
+	s := &testLeader{state: notch.NewState(New(notch.Daemon{Name: "a"}, opts...)), now: notch.Time(time.Hour)}
 	s.step(notch.TablesCommitted{Tables: notch.Tables{
 		Revision: 1, Routes: []notch.Route{{Name: "r", Path: "/r/", Pool: "p", Attempts: 3, Stretch: 2}},
 		Pools: []notch.Pool{{Name: "p", Kind: notch.WorkerPool}},
--- a/flow/colocate.go
+++ b/flow/colocate.go
@@ -114,17 +114,16 @@
 func (s *stepper) serviceImages(agent string) []notch.ServiceImage {
 	var out []notch.ServiceImage
 	colocated, _ := s.colocations.Get(agent)
-	refs, _ := s.runsByAgent.Get(agent)
-	for _, ref := range refs {
-		st := s.stageOf(ref)
-		if st.Target <= 0 {
+	load, _ := s.loads.Get(agent)
+	for _, r := range load.runs {
+		if r.stage.Target <= 0 {
 			continue
 		}
 		spare := 0.0
 		if !colocated.blocked {
-			spare = max(0, s.colocationModel.HeadroomAlone(groupOf(ref.Task), s.now.Add(predictionHorizon))-minHeadroom)
+			spare = max(0, s.colocationModel.HeadroomAlone(groupOf(r.ref.Task), s.now.Add(predictionHorizon))-minHeadroom)
 		}
-		out = mergeServiceImage(out, notch.ServiceImage{Image: st.Image, SpareHeadroom: spare})
+		out = mergeServiceImage(out, notch.ServiceImage{Image: r.stage.Image, SpareHeadroom: spare})
 	}
 	return out
 }
--- a/flow/dump.go
+++ b/flow/dump.go
@@ -29,13 +29,12 @@
 	out := State{Part: "flow", Leading: p.leadership.Leading, Workflows: p.workflows.Len(), ActiveWorkflows: p.active.Len()}
 	for it := p.agents.Iterator(); !it.Done(); {
 		id, a, _ := it.Next()
-		runs, _ := p.runsByAgent.Get(id)
-		used, _ := p.reserved.Get(id)
+		load, _ := p.loads.Get(id)
 		session, _ := p.sessions.Get(id)
 		colocated, _ := p.colocations.Get(id)
 		out.Agents = append(out.Agents, AgentState{
-			ID: id, Born: a.Born, Draining: a.Draining, Left: a.Left, Runs: len(runs), MilliCPU: used.MilliCPU,
-			MemoryMB: used.MemoryMB, Unanswered: session.unanswered, ProposedUpTo: session.proposedUpTo, CommittedUpTo: session.committedUpTo, Blocked: colocated.blocked,
+			ID: id, Born: a.Born, Draining: a.Draining, Left: a.Left, Runs: len(load.runs), MilliCPU: load.reserved.MilliCPU,
+			MemoryMB: load.reserved.MemoryMB, Unanswered: session.unanswered, ProposedUpTo: session.proposedUpTo, CommittedUpTo: session.committedUpTo, Blocked: colocated.blocked,
 		})
 	}
 	return out
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -81,11 +81,9 @@
 	agents    *immutable.SortedMap[string, notch.Agent]
 
 	// Derived from the replicated state:
-	active           *immutable.SortedMap[string, notch.Time] // acceptance times of the workflows that have tasks to run or runs to end, by id
-	runsByAgent      *immutable.Map[string, []notch.RunRef]   // of any incarnation of the agent; slices are never modified
-	reserved         *immutable.Map[string, notch.Resources]  // by agent
-	ended            *immutable.List[string]                  // workflows in the order of their end
-	opportunisticCPU *immutable.Map[string, int64]            // milli-CPU declared by opportunistic tasks, by agent
+	active *immutable.SortedMap[string, notch.Time] // acceptance times of the workflows that have tasks to run or runs to end, by id
+	loads  *immutable.Map[string, agentLoad]        // by agent
+	ended  *immutable.List[string]                  // workflows in the order of their end
 
 	// Known to the leader only:
 	leadership           notch.Leadership
@@ -124,9 +122,7 @@
 	p.workflows = immutable.NewMap[string, *graph.Workflow](nil)
 	p.agents = immutable.NewSortedMap[string, notch.Agent](nil)
 	p.active = immutable.NewSortedMap[string, notch.Time](nil)
-	p.runsByAgent = immutable.NewMap[string, []notch.RunRef](nil)
-	p.reserved = immutable.NewMap[string, notch.Resources](nil)
-	p.opportunisticCPU = immutable.NewMap[string, int64](nil)
+	p.loads = immutable.NewMap[string, agentLoad](nil)
 	p.ended = immutable.NewList[string]()
 	return p
 }
--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -57,7 +57,7 @@
 	formerLeasesEnd := s.formerLeasesEnd(l.Ready)
 	for it := s.agents.Iterator(); !it.Done(); {
 		_, a, _ := it.Next()
-		if runs, _ := s.runsByAgent.Get(a.ID); !a.Left || len(runs) > 0 {
+		if load, _ := s.loads.Get(a.ID); !a.Left || len(load.runs) > 0 {
 			s.sessions = s.sessions.Set(a.ID, agentSession{incarnation: a.Incarnation(), token: s.token(), lease: lease.New(formerLeasesEnd)})
 			s.renewLease(a.ID)
 		}
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -133,8 +133,9 @@
 		listed[e.End.Run] = true
 	}
 	var out []notch.RunEnd
-	refs, _ := s.runsByAgent.Get(a.ID)
-	for _, ref := range refs {
+	load, _ := s.loads.Get(a.ID)
+	for _, run := range load.runs {
+		ref := run.ref
 		r, ok := s.run(ref)
 		if !ok || listed[ref] {
 			continue
--- /dev/null
+++ b/flow/load.go
@@ -0,0 +1,65 @@
+package flow
+
+import (
+	"slices"
+
+	notch "tamaracknotch"
+)
+
+// agentLoad describes the runs on an agent and what they occupy. Values are immutable.
+type agentLoad struct {
+	runs                  []agentRun      // of any incarnation of the agent, in the order of their placement
+	reserved              notch.Resources // by all runs
+	opportunisticMilliCPU int64           // declared by the opportunistic tasks
+	serviceMilliCPU       int64           // reserved by the service tasks
+}
+
+// agentRun is a run on an agent.
+type agentRun struct {
+	ref   notch.RunRef
+	stage *notch.Stage // never modified
+}
+
+// withRun returns l with one more run.
+func (l agentLoad) withRun(r agentRun) agentLoad {
+	l.runs = append(slices.Clip(l.runs), r)
+	return l.plus(r.stage, 1)
+}
+
+// withoutRun returns l without a run.
+func (l agentLoad) withoutRun(ref notch.RunRef) agentLoad {
+	i := slices.IndexFunc(l.runs, func(r agentRun) bool { return r.ref == ref })
+	if i < 0 {
+		return l
+	}
+	st := l.runs[i].stage
+	l.runs = slices.Concat(l.runs[:i], l.runs[i+1:])
+	return l.plus(st, -1)
+}
+
+// plus returns l with the amounts that a task of the stage occupies added, or subtracted if sign is -1.
+func (l agentLoad) plus(st *notch.Stage, sign int64) agentLoad {
+	size := st.Reserved()
+	l.reserved = l.reserved.Plus(notch.Resources{
+		MilliCPU: sign * size.MilliCPU, MemoryMB: sign * size.MemoryMB, Accelerators: sign * size.Accelerators,
+	})
+	switch {
+	case st.Fills:
+		l.opportunisticMilliCPU += sign * st.Size.MilliCPU
+	case st.Target > 0:
+		l.serviceMilliCPU += sign * st.Size.MilliCPU
+	}
+	return l
+}
+
+// addRun records a run on an agent.
+func (s *stepper) addRun(agent string, ref notch.RunRef, st *notch.Stage) {
+	l, _ := s.loads.Get(agent)
+	s.loads = s.loads.Set(agent, l.withRun(agentRun{ref: ref, stage: st}))
+}
+
+// removeRun removes a run from an agent.
+func (s *stepper) removeRun(agent string, ref notch.RunRef) {
+	l, _ := s.loads.Get(agent)
+	s.loads = s.loads.Set(agent, l.withoutRun(ref))
+}
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -1,9 +1,6 @@
 package flow
 
 import (
-	"slices"
-	"time"
-
 	notch "tamaracknotch"
 	"tamaracknotch/graph"
 )
@@ -11,16 +8,6 @@
 // maxPlacements limits the number of placements that one plan proposes.
 const maxPlacements = 500
 
-// readyTask is a task that could start now.
-type readyTask struct {
-	ref        notch.TaskRef
-	latestRun  uint64 // number; 0: the task has had no run
-	workflow   *graph.Workflow
-	stage      notch.Stage
-	rank       int64
-	noRunSince notch.Time
-}
-
 // plan proposes placements. Only one proposal is under way at a time, so that each plan knows
 // the outcome of the one before.
 func (s *stepper) plan() {
@@ -31,7 +18,7 @@
 		return
 	}
 	s.plannedAt, s.needsPlan = s.now, false
-	placed := s.assign(s.readyTasks())
+	placed := s.assign(s.readyGroups())
 	if len(placed) == 0 {
 		return
 	}
@@ -39,89 +26,55 @@
 	s.propose(notch.PlaceRuns{Token: s.leadership.Term, Placements: placed})
 }
 
-// readyTasks lists the tasks that could start now, in the order of the policy.
-func (s *stepper) readyTasks() []readyTask {
-	var out []readyTask
-	for it := s.active.Iterator(); !it.Done(); {
-		id, _, _ := it.Next()
-		w, ok := s.workflows.Get(id)
-		if !ok || w.State.Ended() {
-			continue
-		}
-		for g := range w.GroupCount() {
-			if w.Unfinished(g) > 0 && w.Due(g, s.unixMilli) {
-				out = s.appendReady(out, w, g)
-			}
-		}
-	}
-	slices.SortStableFunc(out, func(a, b readyTask) int {
-		if a.rank < b.rank {
-			return -1
-		}
-		return min(1, int(a.rank-b.rank))
-	})
-	return out
+// planner is a stepper during a plan.
+type planner struct {
+	*stepper
+	placer notch.RunPlacer
+	pools  map[string]*agentViews // by name
+	placed []notch.RunPlacement
 }
 
-// appendReady appends the ready tasks of one group.
-func (s *stepper) appendReady(out []readyTask, w *graph.Workflow, group int) []readyTask {
-	st := w.Stage(group)
-	rank, ranked := int64(0), false
-	for i, t := range w.Tasks[group] {
-		if t.State != notch.TaskOpen || len(t.Runs) > 0 {
-			continue
+// assign chooses an agent for each task that fits on one.
+func (s *stepper) assign(groups []readyGroup) []notch.RunPlacement {
+	p := planner{stepper: s, placer: s.policy.Placer(s.colocationModel), pools: map[string]*agentViews{}}
+	for _, g := range groups {
+		if pool := s.poolOf(g.workflow); !pool.Standby {
+			p.placeGroup(g, p.viewsOf(pool))
 		}
-		if !ranked {
-			rank, ranked = s.policy.Order.Rank(s.rankInput(w, group), s.now), true
+		if len(p.placed) == maxPlacements {
+			s.needsPlan = true
+			break
 		}
-		out = append(out, readyTask{ref: w.TaskRef(group, i), latestRun: t.Latest, workflow: w, stage: st, rank: rank, noRunSince: t.Idle})
 	}
-	return out
+	return p.placed
 }
 
-// rankInput describes the tasks of a group to the policy that ranks them.
-func (s *stepper) rankInput(w *graph.Workflow, group int) notch.ReadyTask {
-	route, st := s.routeOf(w), w.Stage(group)
-	criticalPath := w.CriticalPath(0, declaredEstimate)
-	return notch.ReadyTask{
-		Priority: route.Priority, LongRunning: st.Lasts, Opportunistic: st.Fills, Accepted: w.At,
-		Due:       w.At.Add(time.Duration(route.Stretch*float64(criticalPath)) + route.Target),
-		Remaining: w.CriticalPath(group, declaredEstimate),
+// viewsOf returns the views of a pool's agents.
+func (p *planner) viewsOf(pool notch.Pool) *agentViews {
+	v := p.pools[pool.Name]
+	if v == nil {
+		v = p.agentViewsOf(pool)
+		p.pools[pool.Name] = v
 	}
+	return v
 }
 
-func declaredEstimate(st notch.Stage) time.Duration { return st.Estimate }
-
-// assign chooses an agent for each task that fits on one.
-func (s *stepper) assign(tasks []readyTask) []notch.RunPlacement {
-	pools := map[string]*agentViews{}
-	placer := s.policy.Placer(s.colocationModel)
-	full := map[notch.TaskRef]bool{} // stages with a task that fitted on no agent
-	var out []notch.RunPlacement
-	for i, t := range tasks {
-		stage := notch.TaskRef{Flow: t.ref.Flow, Round: t.ref.Round, Stage: t.ref.Stage}
-		pool := s.poolOf(t.workflow)
-		if full[stage] || pool.Standby {
-			continue
-		}
-		v := pools[pool.Name]
-		if v == nil {
-			v = s.agentViewsOf(pool)
-			pools[pool.Name] = v
-		}
-		v.setStage(stage, t.stage)
-		k := placer.Place(notch.RunRequest{Task: t.ref, Stage: t.stage, Waited: s.now.Sub(t.noRunSince)}, v, s.seed+uint64(i))
-		if k < 0 {
-			full[stage] = true
-			continue
+// placeGroup places the tasks of a group until one fits on no agent.
+func (p *planner) placeGroup(g readyGroup, v *agentViews) {
+	st := g.workflow.Stage(g.group)
+	v.setStage(g.ref(), st)
+	scores := p.placer.Score(st, v)
+	seed := p.seed + uint64(g.ahead)
+	g.workflow.EachWaiting(g.group, func(ref notch.TaskRef, t notch.WorkflowTask) bool {
+		i := scores.Next(p.now.Sub(t.Idle), seed)
+		if i < 0 {
+			return false
 		}
-		out = append(out, notch.RunPlacement{Task: t.ref, After: t.latestRun, Life: v.assign(k)})
-		if len(out) == maxPlacements {
-			s.needsPlan = true
-			break
-		}
-	}
-	return out
+		seed++
+		p.placed = append(p.placed, notch.RunPlacement{Task: ref, After: t.Latest, Life: v.assign(i)})
+		scores.Rescore(i)
+		return len(p.placed) < maxPlacements
+	})
 }
 
 // poolOf returns the pool of the workflow's route. Without such a pool it returns a standby pool,
--- /dev/null
+++ b/flow/plan_test.go
@@ -0,0 +1,111 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	notch "tamaracknotch"
+	"tamaracknotch/assign"
+	"tamaracknotch/colocation"
+)
+
+// countingPolicy counts what plans examine.
+type countingPolicy struct {
+	agents    int // agent views that the placer examined
+	headrooms int // estimates of the headroom of service tasks
+}
+
+func (c *countingPolicy) policy() Policy {
+	placer := func(model notch.ColocationModel) notch.RunPlacer {
+		return countingPlacer{assign.ByScore{ColocationModel: model}, c}
+	}
+	return Policy{Order: assign.BySlack{}, Placer: placer, ColocationModel: countingModel{colocation.New(), c}}
+}
+
+type countingPlacer struct {
+	notch.RunPlacer
+	count *countingPolicy
+}
+
+func (p countingPlacer) Score(st notch.Stage, agents notch.AgentViews) notch.AgentScores {
+	return p.RunPlacer.Score(st, countingViews{agents, p.count})
+}
+
+type countingViews struct {
+	notch.AgentViews
+	count *countingPolicy
+}
+
+func (v countingViews) At(i int) (*notch.AgentView, bool) {
+	v.count.agents++
+	return v.AgentViews.At(i)
+}
+
+type countingModel struct {
+	notch.ColocationModel
+	count *countingPolicy
+}
+
+func (m countingModel) HeadroomAlone(group notch.TaskRef, at notch.Time) float64 {
+	m.count.headrooms++
+	return m.ColocationModel.HeadroomAlone(group, at)
+}
+
+// plan makes a plan and returns its placements.
+func (s *testLeader) plan() []notch.RunPlacement {
+	s.advance(time.Second)
+	part, effects := s.state.Parts()[0].Step(notch.Event{At: s.now, Seed: s.index, Body: notch.Flush{}})
+	s.state = notch.NewState(part)
+	for _, e := range effects {
+		if emit, ok := e.(notch.Emit); ok {
+			return emit.Body.(notch.Proposal).Command.(notch.PlaceRuns).Placements
+		}
+	}
+	return nil
+}
+
+// TestPlanScoresAgentsOncePerGroup guards against plans whose cost grows with tasks times agents
+// (issue 20).
+func TestPlanScoresAgentsOncePerGroup(t *testing.T) {
+	const agents, tasks = 40, 200
+	count := &countingPolicy{}
+	s := newTestLeader(agents, WithPolicy(count.policy()))
+	s.submit("f", tasks)
+	if got, want := len(s.plan()), tasks; got != want {
+		t.Errorf("placements: got %d, want %d", got, want)
+	}
+	if got, want := count.agents, agents+tasks; got != want {
+		t.Errorf("agent views examined: got %d, want %d", got, want)
+	}
+}
+
+// TestPlanEstimatesHeadroomOnDemand guards against plans that estimate the headroom of all service
+// tasks although no group that waits depends on it (issue 20).
+func TestPlanEstimatesHeadroomOnDemand(t *testing.T) {
+	const agents = 5
+	count := &countingPolicy{}
+	s := newTestLeader(agents, WithPolicy(count.policy()))
+	s.occupy(agents)
+	opportunistic := notch.Stage{Count: 2, Size: notch.Resources{MilliCPU: 100, MemoryMB: 1}, Image: "o", Fills: true}
+	for _, c := range []struct {
+		stage notch.Stage
+		want  int
+	}{
+		{notch.Stage{Count: 2, Size: notch.Resources{MilliCPU: 100, MemoryMB: 1}}, 0},
+		{opportunistic, agents * servicesPerAgent},
+	} {
+		for i := range 3 {
+			s.commit(notch.SubmitWorkflow{Flow: notch.Workflow{ID: fmt.Sprint(c.stage.Image, i), Route: "r", Stages: []notch.Stage{c.stage}}})
+		}
+		count.headrooms = 0
+		placed := s.plan()
+		if got, want := len(placed), 6; got != want {
+			t.Errorf("placements: got %d, want %d", got, want)
+		}
+		s.commit(notch.PlaceRuns{Token: 2, Placements: placed})
+		if got := count.headrooms; got != c.want {
+			t.Errorf("headroom estimates of a plan with image %q: got %d, want %d", c.stage.Image, got, c.want)
+		}
+	}
+}
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -15,13 +15,13 @@
 	}
 	for it := s.sessions.Iterator(); !it.Done(); {
 		id, session, _ := it.Next()
-		refs, _ := s.runsByAgent.Get(id)
-		if len(refs) > 0 && s.now.Sub(session.endsProposedAt) >= s.timing.ReproposeInterval {
-			s.abandonRuns(id, session, refs)
+		load, _ := s.loads.Get(id)
+		if len(load.runs) > 0 && s.now.Sub(session.endsProposedAt) >= s.timing.ReproposeInterval {
+			s.abandonRuns(id, session, load.runs)
 		}
 		if session.renewalSentAt == 0 && !s.now.Before(session.nextRenewalAt) {
 			a, _ := s.agents.Get(id)
-			if a.Left && len(refs) == 0 {
+			if a.Left && len(load.runs) == 0 {
 				s.sessions = s.sessions.Delete(id)
 				continue
 			}
@@ -31,7 +31,7 @@
 }
 
 // abandonRuns ends the runs of an agent that has left or whose leases have expired.
-func (s *stepper) abandonRuns(id string, session agentSession, refs []notch.RunRef) {
+func (s *stepper) abandonRuns(id string, session agentSession, runs []agentRun) {
 	kind := notch.RunLeaseExpired
 	switch {
 	case session.leftAt != 0 && s.now.Sub(session.leftAt) > leaveGrace && session.unanswered > 0:
@@ -39,7 +39,12 @@
 	case session.unanswered == 0 || !session.lease.Expired(s.now):
 		return
 	}
-	refs = slices.DeleteFunc(slices.Clone(refs), func(ref notch.RunRef) bool { return s.mayStillStart(session, ref) })
+	var refs []notch.RunRef
+	for _, r := range runs {
+		if !s.mayStillStart(session, r.ref) {
+			refs = append(refs, r.ref)
+		}
+	}
 	if len(refs) == 0 {
 		return
 	}
--- a/flow/views.go
+++ b/flow/views.go
@@ -11,6 +11,7 @@
 type agentViews struct {
 	s           *stepper
 	agents      []notch.AgentView
+	colocated   []bool                           // by agent; the view includes the images of service tasks and opportunistic tasks
 	runsByStage map[notch.TaskRef]map[string]int // number of runs by stage and agent id; the Index of the stage is 0
 	stageRef    notch.TaskRef
 	stage       notch.Stage
@@ -25,6 +26,7 @@
 			v.agents = append(v.agents, s.agentViewOf(a))
 		}
 	}
+	v.colocated = make([]bool, len(v.agents))
 	return v
 }
 
@@ -36,26 +38,31 @@
 	return session.lastAnsweredAt != 0 && session.unanswered == 0 && !s.now.Before(session.noRunsBefore) && s.now.Sub(session.lastAnsweredAt) < s.timing.MaxSilence
 }
 
+// agentViewOf returns a view without the images of the tasks.
 func (s *stepper) agentViewOf(a notch.Agent) notch.AgentView {
-	used, _ := s.reserved.Get(a.ID)
-	opportunisticCPU, _ := s.opportunisticCPU.Get(a.ID)
-	view := notch.AgentView{Agent: a, Free: a.Size.Minus(used), OpportunisticMilliCPU: opportunisticCPU, ServiceImages: s.serviceImages(a.ID)}
-	refs, _ := s.runsByAgent.Get(a.ID)
-	for _, ref := range refs {
-		view = withTask(view, s.stageOf(ref))
+	load, _ := s.loads.Get(a.ID)
+	return notch.AgentView{
+		Agent: a, Free: a.Size.Minus(load.reserved),
+		OpportunisticMilliCPU: load.opportunisticMilliCPU, ServiceMilliCPU: load.serviceMilliCPU,
 	}
-	return view
 }
 
-// withTask returns a view that includes the load of one more task.
-func withTask(v notch.AgentView, st notch.Stage) notch.AgentView {
-	switch {
-	case st.Fills:
-		v.OpportunisticLoads = append(slices.Clip(v.OpportunisticLoads), notch.OpportunisticLoad{Image: st.Image, CPUShare: cpuShare(v.Agent, st.Size.MilliCPU)})
-	case st.Target > 0:
-		v.ServiceMilliCPU += st.Size.MilliCPU
+// addImages adds the images of the tasks on agent i to its view.
+func (v *agentViews) addImages(i int) {
+	v.colocated[i] = true
+	view := &v.agents[i]
+	load, _ := v.s.loads.Get(view.Agent.ID)
+	view.ServiceImages = v.s.serviceImages(view.Agent.ID)
+	for _, r := range load.runs {
+		if r.stage.Fills {
+			view.OpportunisticLoads = append(view.OpportunisticLoads, declaredLoad(view.Agent, r.stage))
+		}
 	}
-	return v
+}
+
+// declaredLoad returns the load of an opportunistic task.
+func declaredLoad(a notch.Agent, st *notch.Stage) notch.OpportunisticLoad {
+	return notch.OpportunisticLoad{Image: st.Image, CPUShare: cpuShare(a, st.Size.MilliCPU)}
 }
 
 // setStage sets the stage whose tasks are placed next.
@@ -85,16 +92,16 @@
 func (v *agentViews) Len() int { return len(v.agents) }
 
 // At implements [notch.AgentViews].
-func (v *agentViews) At(i int) (notch.AgentView, bool) {
-	view := v.agents[i]
+func (v *agentViews) At(i int) (*notch.AgentView, bool) {
+	if !v.colocated[i] && (v.stage.Fills || v.stage.Target > 0) {
+		v.addImages(i)
+	}
+	view := &v.agents[i]
 	if v.stage.Label != "" && !slices.Contains(view.Agent.Labels, v.stage.Label) {
 		return view, false
 	}
-	if v.stage.PerAgent > 0 {
-		view.SameStageRuns = v.runsByStage[v.stageRef][view.Agent.ID]
-		if view.SameStageRuns >= v.stage.PerAgent {
-			return view, false
-		}
+	if v.stage.PerAgent > 0 && v.runsByStage[v.stageRef][view.Agent.ID] >= v.stage.PerAgent {
+		return view, false
 	}
 	return view, true
 }
@@ -103,10 +110,13 @@
 func (v *agentViews) assign(i int) notch.AgentIncarnation {
 	view := &v.agents[i]
 	view.Free = view.Free.Minus(v.stage.Reserved())
-	if v.stage.Fills {
+	switch {
+	case v.stage.Fills:
 		view.OpportunisticMilliCPU += v.stage.Size.MilliCPU
+		view.OpportunisticLoads = append(slices.Clip(view.OpportunisticLoads), declaredLoad(view.Agent, &v.stage))
+	case v.stage.Target > 0:
+		view.ServiceMilliCPU += v.stage.Size.MilliCPU
 	}
-	*view = withTask(*view, v.stage)
 	if v.stage.Target > 0 {
 		view.ServiceImages = mergeServiceImage(slices.Clone(view.ServiceImages), notch.ServiceImage{Image: v.stage.Image})
 	}
--- a/graph/graph.go
+++ b/graph/graph.go
@@ -13,8 +13,10 @@
 // and must not be modified.
 type Workflow struct {
 	notch.WorkflowRecord
-	unfinished []int // number of tasks that are not done, by group
-	liveRuns   int   // number of runs that aren't known to have ended
+	unfinished    []int           // number of tasks that are not done, by group
+	waiting       []int           // number of open tasks without a run, by group
+	liveRuns      int             // number of runs that aren't known to have ended
+	criticalPaths []time.Duration // by stage
 }
 
 // New returns a workflow that was accepted at the given time and has no runs yet.
@@ -36,15 +38,18 @@
 func Restore(r notch.WorkflowRecord) *Workflow {
 	w := &Workflow{WorkflowRecord: r}
 	for _, tasks := range r.Tasks {
-		unfinished := 0
+		unfinished, waiting := 0, 0
 		for _, t := range tasks {
 			w.liveRuns += len(t.Runs)
 			if t.State != notch.TaskDone {
 				unfinished++
 			}
+			waiting += countWaiting(t)
 		}
 		w.unfinished = append(w.unfinished, unfinished)
+		w.waiting = append(w.waiting, waiting)
 	}
+	w.criticalPaths = criticalPaths(r.Flow.Stages)
 	return w
 }
 
@@ -108,6 +113,32 @@
 // Unfinished returns the number of tasks of a group that aren't done.
 func (w *Workflow) Unfinished(group int) int { return w.unfinished[group] }
 
+// Waiting returns the number of tasks of a group that are open and have no run.
+func (w *Workflow) Waiting(group int) int { return w.waiting[group] }
+
+// EachWaiting calls f for each task of a group that is open and has no run, until f returns
+// false.
+func (w *Workflow) EachWaiting(group int, f func(ref notch.TaskRef, t notch.WorkflowTask) bool) {
+	tasks := w.Tasks[group]
+	left := w.waiting[group]
+	for i := 0; left > 0; i++ {
+		if countWaiting(tasks[i]) == 0 {
+			continue
+		}
+		if left--; !f(w.TaskRef(group, i), tasks[i]) {
+			return
+		}
+	}
+}
+
+// countWaiting returns 1 for an open task without a run, otherwise 0.
+func countWaiting(t notch.WorkflowTask) int {
+	if t.State == notch.TaskOpen && len(t.Runs) == 0 {
+		return 1
+	}
+	return 0
+}
+
 // WithTask returns the workflow with one task replaced, and with the state that follows from it.
 func (w *Workflow) WithTask(ref notch.TaskRef, t notch.WorkflowTask, at notch.Time) *Workflow {
 	g := w.GroupIndex(ref.Round, ref.Stage)
@@ -121,6 +152,10 @@
 		next.unfinished = slices.Clone(w.unfinished)
 		next.unfinished[g]--
 	}
+	if change := countWaiting(t) - countWaiting(old); change != 0 {
+		next.waiting = slices.Clone(w.waiting)
+		next.waiting[g] += change
+	}
 	return next.deriveState(at)
 }
 
@@ -147,7 +182,7 @@
 // runs left. It modifies w, which must be a copy that isn't shared yet.
 func (w *Workflow) dropUnneeded() *Workflow {
 	if w.State.Ended() && w.liveRuns == 0 {
-		w.Tasks, w.unfinished = nil, nil
+		w.Tasks, w.unfinished, w.waiting, w.criticalPaths = nil, nil, nil, nil
 		w.Flow = notch.Workflow{ID: w.Flow.ID, Route: w.Flow.Route, Pool: w.Flow.Pool, Terms: w.Flow.Terms}
 	}
 	return w
@@ -182,16 +217,20 @@
 	}
 }
 
-// CriticalPath returns the run time of the longest chain of dependent stages that starts with
-// the stage of a group, given an estimate of the run time of one stage.
-func (w *Workflow) CriticalPath(group int, estimate func(notch.Stage) time.Duration) time.Duration {
-	n := len(w.Flow.Stages)
-	longest := make([]time.Duration, n)
-	for i := n - 1; i >= group%n; i-- {
-		longest[i] += estimate(w.Flow.Stages[i])
-		for _, a := range w.Flow.Stages[i].After {
+// CriticalPath returns the declared run time of the longest chain of dependent stages that starts
+// with the stage of a group.
+func (w *Workflow) CriticalPath(group int) time.Duration {
+	return w.criticalPaths[group%len(w.criticalPaths)]
+}
+
+// criticalPaths returns the critical path from each stage on.
+func criticalPaths(stages []notch.Stage) []time.Duration {
+	longest := make([]time.Duration, len(stages))
+	for i, st := range slices.Backward(stages) {
+		longest[i] += st.Estimate
+		for _, a := range st.After {
 			longest[a] = max(longest[a], longest[i])
 		}
 	}
-	return longest[group%n]
+	return longest
 }
--- a/graph/graph_test.go
+++ b/graph/graph_test.go
@@ -52,12 +52,18 @@
 	}
 	live := 0
 	for g := range w.GroupCount() {
-		unfinished := 0
+		unfinished, waiting := 0, 0
 		for _, task := range w.Tasks[g] {
 			live += len(task.Runs)
 			if task.State != notch.TaskDone {
 				unfinished++
 			}
+			if task.State == notch.TaskOpen && len(task.Runs) == 0 {
+				waiting++
+			}
+		}
+		if got, want := w.Waiting(g), waiting; got != want {
+			t.Fatalf("waiting tasks of group %d: got %d, want %d", g, got, want)
 		}
 		if got, want := w.Unfinished(g), unfinished; got != want {
 			t.Fatalf("unfinished tasks of group %d: got %d, want %d", g, got, want)
@@ -67,7 +73,7 @@
 		t.Fatalf("runs: got %d, want %d", got, want)
 	}
 	again := Restore(w.Record())
-	if got, want := fmt.Sprint(again.LiveRuns(), again.unfinished), fmt.Sprint(w.LiveRuns(), w.unfinished); got != want {
+	if got, want := fmt.Sprint(again.LiveRuns(), again.unfinished, again.waiting), fmt.Sprint(w.LiveRuns(), w.unfinished, w.waiting); got != want {
 		t.Fatalf("restored: got %s, want %s", got, want)
 	}
 }
@@ -79,7 +85,6 @@
 		{Count: 1, Estimate: 3 * time.Second, After: []int{0}},
 		{Count: 9, Estimate: 2 * time.Second, After: []int{0}},
 	}}, 0)
-	estimate := func(st notch.Stage) time.Duration { return st.Estimate }
-	fmt.Println(w.CriticalPath(0, estimate), w.CriticalPath(1, estimate), w.CriticalPath(2, estimate))
+	fmt.Println(w.CriticalPath(0), w.CriticalPath(1), w.CriticalPath(2))
 	// Output: 4s 3s 2s
 }
--- a/policy.go
+++ b/policy.go
@@ -168,13 +168,6 @@
 	Rank(t ReadyTask, now Time) int64
 }
 
-// RunRequest is a task of a workflow that is to be placed.
-type RunRequest struct {
-	Task   TaskRef
-	Stage  Stage
-	Waited time.Duration // how long the task has been without a run
-}
-
 // AgentView is an agent as a placer sees it.
 type AgentView struct {
 	Agent                 Agent
@@ -183,7 +176,6 @@
 	ServiceMilliCPU       int64               // milli-cpu reserved by the service tasks
 	ServiceImages         []ServiceImage      // the service tasks, grouped by image
 	OpportunisticLoads    []OpportunisticLoad // declared CPU use of the opportunistic tasks
-	SameStageRuns         int                 // runs of the same stage and round on the agent
 }
 
 // ServiceImage is the service tasks of one image on an agent, as a placer sees them.
@@ -196,14 +188,29 @@
 type AgentViews interface {
 	// Len returns the number of agents.
 	Len() int
-	// At returns agent i. If ok is false, the agent can't run the requested task.
-	At(i int) (v AgentView, ok bool)
+	// At returns agent i, which the caller must not modify. If ok is false, the agent can't run
+	// the requested task.
+	At(i int) (v *AgentView, ok bool)
 }
 
-// RunPlacer chooses an agent for a run.
+// RunPlacer chooses agents for the runs of a stage.
 type RunPlacer interface {
-	// Place returns an index of agents, or -1 if the task fits on no agent now.
-	Place(r RunRequest, agents AgentViews, seed uint64) int
+	// Score rates the agents for tasks of the stage. The tasks are alike, so that the scores
+	// serve all of them.
+	Score(st Stage, agents AgentViews) AgentScores
+}
+
+// AgentScores chooses agents for the tasks of one stage, one task after the other. It is used
+// during one plan only.
+type AgentScores interface {
+	// Next returns the index of an agent for one more task, or -1 if the task fits on no agent
+	// now. Waited is how long the task has been without a run.
+	Next(waited time.Duration, seed uint64) int
+	// Rescore rates agent i again, after a task was placed there.
+	Rescore(i int)
+	// HasCapacity reports whether an agent has the free resources for one more task, even if
+	// it keeps them for other tasks.
+	HasCapacity() bool
 }
 
 // OpportunisticLoad is the CPU use, measured or declared, of opportunistic tasks of
