Plans skip groups that demand at least as much as one that fits nowhere

With hundreds of groups waiting that fit on no agent, each cost a look at all agents at each plan: backlog times agents.

A plan now remembers the lowest demands that fitted on no agent of a pool, and skips groups that demand at least as much (same label or a narrower one, same kind, and the same image if opportunistic). Free resources and headroom only shrink during a plan, so such a group can't fit. A group that was refused for another reason (a limit of runs per agent, the reserve for short tasks) isn't remembered.

TestSkippedGroupsDontFit compares random plans with plans that skip nothing; with the test of the label, the image, the kind, the size or the limit per agent taken out of the code, it fails (3,000 draws each). For the reserve TestReserveIsNoShortage fails.

--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -37,13 +37,17 @@
 	}})
 	s.advance(0)
 	for i := range agents {
-		a := notch.Agent{ID: fmt.Sprintf("w%d", i), Born: 1, Pool: "p", Address: "x", Size: notch.Resources{MilliCPU: 64000, MemoryMB: 256000}}
-		s.commit(notch.AdmitAgent{Agent: a})
-		s.answerRenewal(i)
+		s.admit(notch.Agent{ID: fmt.Sprintf("w%d", i), Born: 1, Pool: "p", Address: "x", Size: notch.Resources{MilliCPU: 64000, MemoryMB: 256000}}, i)
 	}
 	return s
 }
 
+// admit admits agent i and answers its first lease renewal.
+func (s *testLeader) admit(a notch.Agent, i int) {
+	s.commit(notch.AdmitAgent{Agent: a})
+	s.answerRenewal(i)
+}
+
 // answerRenewal sends agent i's answer to a lease renewal, with empty lists.
 func (s *testLeader) answerRenewal(i int) {
 	id := fmt.Sprintf("w%d", i)
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -62,12 +62,16 @@
 // placeGroup places the tasks of a group until one fits on no agent.
 func (p *planner) placeGroup(g readyGroup, v *agentViews) {
 	st := g.workflow.Stage(g.group)
+	if v.shortages.include(st) {
+		return
+	}
 	v.setStage(g.ref(), st)
 	scores := p.placer.Score(st, v)
 	seed := p.seed + uint64(g.ahead)
 	g.workflow.EachWaiting(g.group, func(ref notch.TaskRef, t notch.WorkflowTask) bool {
 		i := scores.Next(p.now.Sub(t.Idle), seed)
 		if i < 0 {
+			v.addShortage(scores)
 			return false
 		}
 		seed++
--- a/flow/views.go
+++ b/flow/views.go
@@ -13,6 +13,7 @@
 	agents      []notch.AgentView
 	colocated   []bool                           // by agent; the view includes the images of service tasks and opportunistic tasks
 	runsByStage map[notch.TaskRef]map[string]int // number of runs by stage and agent id; the Index of the stage is 0
+	shortages   shortages
 	stageRef    notch.TaskRef
 	stage       notch.Stage
 }
@@ -125,3 +126,11 @@
 	}
 	return view.Agent.Incarnation()
 }
+
+// addShortage remembers that one more task of the current stage fits on no agent, unless the
+// agents were refused for another reason than their free resources and headroom.
+func (v *agentViews) addShortage(scores notch.AgentScores) {
+	if v.stage.PerAgent == 0 && !scores.HasCapacity() {
+		v.shortages = v.shortages.with(shortageOf(v.stage))
+	}
+}
