Limit what a plan examines, and pause after it in proportion

Plans ran every 10 ms however long one took, on the thread that also answers the other replicas: the more there was to plan, the less time was left for the quorum, whose loss made the backlog grow.

After a plan the next one now waits PlanInterval plus a pause in proportion to the groups and agent views that the plan examined (counts, so that runs repeat). A plan stops after 40,000 agent views; the next one starts with the group that it didn't reach and goes round, so that each group has its turn within (groups * agents / 40,000) + 1 plans. Below the limit the order is as before.

--- a/flow/flow.go
+++ b/flow/flow.go
@@ -96,7 +96,9 @@
 	colocationModel      notch.ColocationModel
 	placementsProposedAt notch.Time // of placements that aren't committed yet; zero: there are none
 	plannedAt            notch.Time
-	needsPlan            bool // the input of plans has changed since the last plan, or that plan reached maxPlacements
+	planPause            time.Duration // after the last plan, in addition to Timing.PlanInterval
+	planResumesAt        notch.TaskRef // group at which the last plan reached its limit of agent views; zero: it didn't
+	needsPlan            bool          // the input of plans has changed since the last plan, or that plan reached a limit
 }
 
 // Option configures a new Part.
@@ -135,6 +137,7 @@
 	p.colocations = immutable.NewMap[string, colocationState](nil)
 	p.colocationModel = p.policy.ColocationModel
 	p.placementsProposedAt, p.plannedAt, p.incarnations = 0, 0, 0
+	p.planPause, p.planResumesAt = 0, notch.TaskRef{}
 	return p
 }
 
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -1,17 +1,30 @@
 package flow
 
 import (
+	"slices"
+	"time"
+
 	notch "tamaracknotch"
 	"tamaracknotch/graph"
 )
 
-// maxPlacements limits the number of placements that one plan proposes.
-const maxPlacements = 500
+// The limits of one plan. What it didn't reach, it leaves to the next one.
+const (
+	maxPlacements = 500
+	maxAgentViews = 40_000 // examined agent views
+)
+
+// The pause after a plan in proportion to what it examined. It leaves most of the control thread
+// to other work, however much there is to plan.
+const (
+	pausePerGroup     = 4 * time.Microsecond
+	pausePerAgentView = 500 * time.Nanosecond
+)
 
 // plan proposes placements. Only one proposal is under way at a time, so that each plan knows
 // the outcome of the one before.
 func (s *stepper) plan() {
-	if !s.mayOrder() || s.now.Sub(s.plannedAt) < s.timing.PlanInterval {
+	if !s.mayOrder() || s.now.Sub(s.plannedAt) < s.timing.PlanInterval+s.planPause {
 		return
 	}
 	if s.placementsProposedAt != 0 && s.now.Sub(s.placementsProposedAt) < s.timing.ReproposeInterval {
@@ -29,15 +42,23 @@
 // planner is a stepper during a plan.
 type planner struct {
 	*stepper
-	placer notch.RunPlacer
-	pools  map[string]*agentViews // by name
-	placed []notch.RunPlacement
+	placer     notch.RunPlacer
+	pools      map[string]*agentViews // by name
+	placed     []notch.RunPlacement
+	agentViews int // number of examined agent views
 }
 
 // assign chooses an agent for each task that fits on one.
 func (s *stepper) assign(groups []readyGroup) []notch.RunPlacement {
 	p := planner{stepper: s, placer: s.policy.Placer(s.colocationModel), pools: map[string]*agentViews{}}
-	for _, g := range groups {
+	first := s.firstGroup(groups)
+	s.planResumesAt = notch.TaskRef{}
+	for i := range groups {
+		g := groups[(first+i)%len(groups)]
+		if p.agentViews >= maxAgentViews {
+			s.planResumesAt, s.needsPlan = g.ref(), true
+			break
+		}
 		if pool := s.poolOf(g.workflow); !pool.Standby {
 			p.placeGroup(g, p.viewsOf(pool))
 		}
@@ -46,14 +67,22 @@
 			break
 		}
 	}
+	s.planPause = time.Duration(len(groups))*pausePerGroup + time.Duration(p.agentViews)*pausePerAgentView
 	return p.placed
 }
 
+// firstGroup returns the index of the group with which a plan starts: the one at which the plan
+// before reached its limit of agent views, so that every group has its turn.
+func (s *stepper) firstGroup(groups []readyGroup) int {
+	return max(0, slices.IndexFunc(groups, func(g readyGroup) bool { return g.ref() == s.planResumesAt }))
+}
+
 // viewsOf returns the views of a pool's agents.
 func (p *planner) viewsOf(pool notch.Pool) *agentViews {
 	v := p.pools[pool.Name]
 	if v == nil {
 		v = p.agentViewsOf(pool)
+		p.agentViews += p.sessions.Len()
 		p.pools[pool.Name] = v
 	}
 	return v
@@ -67,6 +96,7 @@
 	}
 	v.setStage(g.ref(), st)
 	scores := p.placer.Score(st, v)
+	p.agentViews += v.Len()
 	seed := p.seed + uint64(g.ahead)
 	g.workflow.EachWaiting(g.group, func(ref notch.TaskRef, t notch.WorkflowTask) bool {
 		i := scores.Next(p.now.Sub(t.Idle), seed)
@@ -77,6 +107,7 @@
 		seed++
 		p.placed = append(p.placed, notch.RunPlacement{Task: ref, After: t.Latest, Life: v.assign(i)})
 		scores.Rescore(i)
+		p.agentViews++
 		return len(p.placed) < maxPlacements
 	})
 }
