--- a/effect.go
+++ b/effect.go
@@ -149,8 +149,8 @@
 	Ready              int  // tasks that could start
 	Placed             int  // tasks that got an agent
 	StagesWithoutAgent int  // stages with a task that no agent had room for
-	AgentsExamined     int  // number of times that an agent was examined for a task
-	Incomplete         bool // the plan stopped at the limit of its placements
+	AgentsExamined     int  // number of times that an agent was examined
+	Incomplete         bool // the plan stopped at one of its limits
 }
 
 // Counts returns the counters that p adds to.
--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -29,21 +29,25 @@
 	s.step(notch.Leadership{Leading: true, Term: 2, Ready: 1, Contact: s.now})
 }
 
-func newTestLeader(agents int) *testLeader {
-	s := &testLeader{state: notch.NewState(New(notch.Daemon{Name: "a"})), now: notch.Time(time.Hour)}
+func newTestLeader(agents int, opts ...Option) *testLeader {
+	s := &testLeader{state: notch.NewState(New(notch.Daemon{Name: "a"}, opts...)), now: notch.Time(time.Hour)}
 	s.step(notch.TablesCommitted{Tables: notch.Tables{
 		Revision: 1, Routes: []notch.Route{{Name: "r", Path: "/r/", Pool: "p", Attempts: 3, Stretch: 2}},
 		Pools: []notch.Pool{{Name: "p", Kind: notch.WorkerPool}},
 	}})
 	s.advance(0)
 	for i := range agents {
-		a := notch.Agent{ID: fmt.Sprintf("w%d", i), Born: 1, Pool: "p", Address: "x", Size: notch.Resources{MilliCPU: 64000, MemoryMB: 256000}}
-		s.commit(notch.AdmitAgent{Agent: a})
-		s.answerRenewal(i)
+		s.admit(notch.Agent{ID: fmt.Sprintf("w%d", i), Born: 1, Pool: "p", Address: "x", Size: notch.Resources{MilliCPU: 64000, MemoryMB: 256000}}, i)
 	}
 	return s
 }
 
+// admit admits agent i and answers its first lease renewal.
+func (s *testLeader) admit(a notch.Agent, i int) {
+	s.commit(notch.AdmitAgent{Agent: a})
+	s.answerRenewal(i)
+}
+
 // answerRenewal sends agent i's answer to a lease renewal, with empty lists.
 func (s *testLeader) answerRenewal(i int) {
 	id := fmt.Sprintf("w%d", i)
