Let events that a part doesn't handle cost no allocation

Step returned the part itself for every event, and the conversion to the interface copies the part to the heap: a third of all allocation in the leader's loop. Step now returns nil for an event that leaves the part unchanged. Batch also kept its stepper on the heap, because the views of a plan pointed to it; they hold the part instead, and the plan itself records the probe of a quarantined worker.

Done for batch, table, claim, member and gateway. The other parts may follow one by one, as a part that returns itself works as before.

--- a/batch/apply.go
+++ b/batch/apply.go
@@ -18,8 +18,8 @@
 const maxFailedWorkers = 3
 
 // apply applies a committed log entry and emits its result. It ignores the commands of
-// other parts.
-func (s *stepper) apply(e notch.LogEntry) {
+// other parts and returns false for them.
+func (s *stepper) apply(e notch.LogEntry) bool {
 	var r notch.Result = notch.Done{}
 	switch c := e.Command.(type) {
 	case notch.SubmitJob:
@@ -39,10 +39,11 @@
 	case notch.QuarantineWorker:
 		s.setQuarantine(c)
 	default:
-		return
+		return false
 	}
 	s.planNeeded = true
 	s.emit(notch.Applied{Origin: e.Origin, Ticket: e.Ticket, Result: r})
+	return true
 }
 
 // submitJob adds a job and queues its tasks, or returns the reason for its rejection.
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -155,7 +155,9 @@
 	s := stepper{Part: p, now: e.At, seed: e.Seed}
 	switch b := e.Body.(type) {
 	case notch.Committed:
-		s.apply(b.Entry)
+		if !s.apply(b.Entry) {
+			return nil, nil
+		}
 	case notch.Restored:
 		s.restore(b.Snapshot)
 	case notch.TablesCommitted:
@@ -167,11 +169,19 @@
 		s.handleHeartbeat(b)
 	case notch.QueryReceived:
 		s.answerQuery(b)
+		return nil, s.out
 	case notch.Tick:
 		s.expireLeases()
-		s.plan(true)
+		if s.planDue() {
+			s.plan()
+		}
 	case notch.Flush:
-		s.plan(false)
+		if !s.planNeeded || !s.planDue() {
+			return nil, nil
+		}
+		s.plan()
+	default:
+		return nil, nil
 	}
 	return s.Part, s.out
 }
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -14,16 +14,18 @@
 	oldestPickInterval   = 8    // one in this many picks takes the oldest task of a team
 )
 
-// plan proposes placements for queued tasks. It runs on every tick, and between ticks
-// if the state has changed. At most one proposal is in progress at a time, so that each
-// plan is based on the outcome of the previous one.
-func (s *stepper) plan(tick bool) {
-	if !s.hasLeaderLease() || (!s.planNeeded && !tick) || s.now.Sub(s.plannedAt) < s.timing.PlanPeriod {
-		return
-	}
-	if s.placementProposedAt != 0 && s.now.Sub(s.placementProposedAt) < s.timing.Repropose {
-		return
+// planDue reports whether a plan may run now. At most one proposal is in progress at a
+// time, so that each plan is based on the outcome of the previous one.
+func (s *stepper) planDue() bool {
+	if !s.hasLeaderLease() || s.now.Sub(s.plannedAt) < s.timing.PlanPeriod {
+		return false
 	}
+	return s.placementProposedAt == 0 || s.now.Sub(s.placementProposedAt) >= s.timing.Repropose
+}
+
+// plan proposes placements for queued tasks. It runs on every tick, and between ticks
+// if the state has changed.
+func (s *stepper) plan() {
 	s.plannedAt, s.planNeeded = s.now, false
 	var placements []notch.Placement
 	for _, pool := range s.tables.Pools {
@@ -175,6 +177,9 @@
 		return notch.Placement{}, false
 	}
 	w := views.assign(i, j)
+	if w.Quarantined {
+		s.probedAt = s.probedAt.Set(w.Name, s.now)
+	}
 	tp.queue = tp.queue.withoutTask(t)
 	tp.queue.used = tp.queue.used.Plus(j.Size)
 	return notch.Placement{Task: t.ID, Epoch: t.Epoch, Worker: w.Name, Incarnation: w.Incarnation}, true
--- a/batch/views.go
+++ b/batch/views.go
@@ -10,7 +10,7 @@
 // The tasks that the current plan has assigned count as placed. It is used for one plan
 // or query and is mutable, unlike the state.
 type workerViews struct {
-	stepper    *stepper
+	part       Part
 	workers    []notch.Worker
 	excluded   []bool
 	addedKinds map[int][]string // by index of the worker: kinds of the tasks that this plan has assigned
@@ -19,7 +19,7 @@
 }
 
 func (s *stepper) workerViews(pool notch.Pool) *workerViews {
-	v := &workerViews{stepper: s, addedKinds: map[int][]string{}}
+	v := &workerViews{part: s.Part, addedKinds: map[int][]string{}}
 	for it := s.workers.Iterator(); !it.Done(); {
 		_, w, _ := it.Next()
 		if w.Pool != pool.Name {
@@ -72,13 +72,13 @@
 		view.Free = notch.Resources{MilliCPU: -1, MemoryMB: -1, Accelerators: -1}
 		return view
 	}
-	if session, ok := v.stepper.sessions.Get(workerIncarnation{w.Name, w.Incarnation}); ok {
+	if session, ok := v.part.sessions.Get(workerIncarnation{w.Name, w.Incarnation}); ok {
 		view.Pressure = session.usage.Pressure
 	}
-	ids, _ := v.stepper.onWorker.Get(w.Name)
+	ids, _ := v.part.onWorker.Get(w.Name)
 	for _, id := range ids {
-		t, _ := v.stepper.tasks.Get(id)
-		rec, _ := v.stepper.jobs.Get(t.Job)
+		t, _ := v.part.tasks.Get(id)
+		rec, _ := v.part.jobs.Get(t.Job)
 		view.Kinds = append(view.Kinds, rec.Job.Kind)
 	}
 	view.Kinds = append(view.Kinds, v.addedKinds[i]...)
@@ -92,7 +92,6 @@
 	v.workers[i] = w.WithUsed(w.Used.Plus(j.Size))
 	v.addedKinds[i] = append(v.addedKinds[i], j.Kind)
 	if w.Quarantined {
-		v.stepper.probedAt = v.stepper.probedAt.Set(w.Name, v.stepper.now)
 		v.exclude(i)
 	}
 	return w
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -28,10 +28,10 @@
 	case notch.Restored:
 		return p.restore(b.Snapshot), nil
 	}
-	return p, nil
+	return nil, nil
 }
 
-// apply applies a committed log entry.
+// apply applies a committed log entry. It ignores the commands of other parts.
 func (p Part) apply(e notch.LogEntry) (notch.Part, []notch.Effect) {
 	var result notch.Result
 	switch c := e.Command.(type) {
@@ -41,7 +41,7 @@
 	case notch.ReleaseClaim:
 		p, result = p.release(c), notch.Done{}
 	default:
-		return p, nil
+		return nil, nil
 	}
 	return p, []notch.Effect{notch.Emit{Body: notch.Applied{Origin: e.Origin, Ticket: e.Ticket, Result: result}}}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,9 +48,15 @@
 		p.leader = b.Leader
 		return p.resend(e.At, 0)
 	case notch.Leadership:
+		if b.Leading == p.leading {
+			return nil, nil
+		}
 		p.leading = b.Leading
 		return p, nil
 	case notch.Tick:
+		if p.calls.Len() == 0 {
+			return nil, nil
+		}
 		p, out := p.expire(e.At)
 		next, more := p.resend(e.At, resendInterval)
 		return next, append(out, more...)
@@ -63,7 +69,7 @@
 	case notch.MessageReceived:
 		return p.receive(b.From, b.Message)
 	}
-	return p, nil
+	return nil, nil
 }
 
 func (p Part) startCall(now notch.Time, ticket uint64, c call) (notch.Part, []notch.Effect) {
@@ -162,14 +168,14 @@
 		return p.answer(b.Ticket, b.Result)
 	}
 	if b.Origin == "" || !p.leading {
-		return p, nil
+		return nil, nil
 	}
-	return p, []notch.Effect{notch.Send{To: b.Origin, Message: notch.Outcome{Ticket: b.Ticket, Result: b.Result}}}
+	return nil, []notch.Effect{notch.Send{To: b.Origin, Message: notch.Outcome{Ticket: b.Ticket, Result: b.Result}}}
 }
 
 func (p Part) answer(ticket uint64, r notch.Result) (notch.Part, []notch.Effect) {
 	if _, ok := p.calls.Get(ticket); !ok {
-		return p, nil
+		return nil, nil
 	}
 	p.calls = p.calls.Delete(ticket)
 	return p, []notch.Effect{notch.Answer{Ticket: ticket, Result: r}}
@@ -177,10 +183,10 @@
 
 func (p Part) heartbeatAnswered(b notch.HeartbeatAnswered) (notch.Part, []notch.Effect) {
 	if b.Origin != p.self {
-		return p, []notch.Effect{notch.Send{To: b.Origin, Message: notch.WorkerReply{Ticket: b.Ticket, Reply: b.Reply}}}
+		return nil, []notch.Effect{notch.Send{To: b.Origin, Message: notch.WorkerReply{Ticket: b.Ticket, Reply: b.Reply}}}
 	}
 	if _, ok := p.calls.Get(b.Ticket); !ok {
-		return p, nil
+		return nil, nil
 	}
 	p.calls = p.calls.Delete(b.Ticket)
 	return p, []notch.Effect{notch.AnswerWorker{Ticket: b.Ticket, Reply: b.Reply}}
@@ -188,10 +194,10 @@
 
 func (p Part) queryAnswered(b notch.QueryAnswered) (notch.Part, []notch.Effect) {
 	if b.Origin != p.self {
-		return p, []notch.Effect{notch.Send{To: b.Origin, Message: notch.QueryReply{Ticket: b.Ticket, View: b.View}}}
+		return nil, []notch.Effect{notch.Send{To: b.Origin, Message: notch.QueryReply{Ticket: b.Ticket, View: b.View}}}
 	}
 	if _, ok := p.calls.Get(b.Ticket); !ok {
-		return p, nil
+		return nil, nil
 	}
 	p.calls = p.calls.Delete(b.Ticket)
 	return p, []notch.Effect{notch.AnswerQuery{Ticket: b.Ticket, View: b.View}}
@@ -208,12 +214,12 @@
 	}
 	body := leaderRequest(from, m)
 	if body == nil {
-		return p, nil
+		return nil, nil
 	}
 	if !p.leading {
-		return p, []notch.Effect{notch.Send{To: from, Message: notch.LeaderHint{Leader: p.leader}}}
+		return nil, []notch.Effect{notch.Send{To: from, Message: notch.LeaderHint{Leader: p.leader}}}
 	}
-	return p, []notch.Effect{notch.Emit{Body: body}}
+	return nil, []notch.Effect{notch.Emit{Body: body}}
 }
 
 // leaderRequest returns the event for a message that is a request to the leader, or nil for
--- a/member/member.go
+++ b/member/member.go
@@ -88,25 +88,26 @@
 
 // Step implements [notch.Part].
 func (p Part) Step(e notch.Event) (notch.Part, []notch.Effect) {
-	var out []notch.Effect
 	switch b := e.Body.(type) {
 	case notch.PeerUp:
-		p, out = p.peerUp(e.At, b.Hello)
+		return p.peerUp(e.At, b.Hello)
 	case notch.PeerDown:
-		p, out = p.peerDown(e.At, b.Name)
+		return p.peerDown(e.At, b.Name)
 	case notch.ServerAnnounced:
-		p = p.onAnnounced(e.At, b.Server)
+		return p.onAnnounced(e.At, b.Server), nil
 	case notch.MessageReceived:
-		p, out = p.receive(e.At, b)
+		return p.receive(e.At, b)
 	case notch.Tick:
-		p = p.tick(e.At)
+		return p.tick(e.At), nil
 	case notch.Flush:
-		p, out = p.flush(e.At)
+		if p.hasPending() {
+			return p.flush(e.At)
+		}
 	}
-	return p, out
+	return nil, nil
 }
 
-func (p Part) receive(now notch.Time, b notch.MessageReceived) (Part, []notch.Effect) {
+func (p Part) receive(now notch.Time, b notch.MessageReceived) (notch.Part, []notch.Effect) {
 	switch m := b.Message.(type) {
 	case notch.Hello:
 		return p.peerUp(now, m)
@@ -116,7 +117,7 @@
 	case notch.AnnouncementRequest:
 		return p.onAnnouncementRequest(m), nil
 	}
-	return p, nil
+	return nil, nil
 }
 
 func (p Part) peerUp(now notch.Time, h notch.Hello) (Part, []notch.Effect) {
@@ -294,6 +295,11 @@
 	return p
 }
 
+// hasPending reports whether a flush has anything to send or emit.
+func (p Part) hasPending() bool {
+	return len(p.pendingFull) > 0 || len(p.pendingRenewals) > 0 || p.serversChanged
+}
+
 func (p Part) flush(now notch.Time) (Part, []notch.Effect) {
 	var out []notch.Effect
 	if len(p.pendingFull)+len(p.pendingRenewals) > 0 {
--- a/state.go
+++ b/state.go
@@ -5,8 +5,9 @@
 // Part is an immutable piece of state together with its reducer. Parts don't
 // refer to each other; a part informs the others by an [Emit] effect.
 type Part interface {
-	// Step returns the part after e, and the effects to carry out.
-	Step(e Event) (Part, []Effect)
+	// Step returns the part after e, and the effects to carry out. The returned part is
+	// nil if e leaves the part unchanged, so that such events cost no allocation.
+	Step(e Event) (next Part, effects []Effect)
 }
 
 // ReplicatedPart is a part that belongs to the replicated state.
@@ -53,7 +54,9 @@
 func (s State) reduce(e Event) (emitted []Body, out []Effect) {
 	for i, p := range s.parts {
 		next, effects := p.Step(e)
-		s.parts[i] = next
+		if next != nil {
+			s.parts[i] = next
+		}
 		// A state of one part, such as that of a lane, mostly emits nothing: the effects need no copy.
 		if len(s.parts) == 1 && !slices.ContainsFunc(effects, isEmit) {
 			return nil, effects
--- a/table/table.go
+++ b/table/table.go
@@ -43,7 +43,7 @@
 	case notch.TablesReceived:
 		return p.putInForce(b.Tables)
 	}
-	return p, nil
+	return nil, nil
 }
 
 // putInForce puts t in force if its revision is later than the current one, so that
@@ -65,7 +65,7 @@
 	return p, append(out, applied...)
 }
 
-// apply applies a committed log entry.
+// apply applies a committed log entry. It ignores the commands of other parts.
 func (p Part) apply(e notch.LogEntry) (notch.Part, []notch.Effect) {
 	var result notch.Result
 	var out []notch.Effect
@@ -87,7 +87,7 @@
 	case notch.Noop, notch.ChangeReplicas:
 		result = notch.Done{}
 	default:
-		return p, nil
+		return nil, nil
 	}
 	return p, append(out, notch.Emit{Body: notch.Applied{Origin: e.Origin, Ticket: e.Ticket, Result: result}})
 }
