--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -230,14 +230,20 @@
 		return
 	}
 	missing := s.appendMissing(m.Entries)
-	reply.OK = true
-	reply.Match = m.PrevIndex + uint64(len(m.Entries))
-	if len(missing) > 0 || reply.Match > s.persistedIndex {
+	match := m.PrevIndex + uint64(len(m.Entries))
+	reply.OK, reply.Match = true, match
+	switch {
+	case len(m.Entries) == 0:
+		// The reply shows that this replica is in contact, so it doesn't wait for the journal. Entries
+		// that are still being synced are acknowledged by the reply to the message that carried them.
+		reply.Match = min(match, s.persistedIndex)
+		s.send(m.Leader, reply)
+	case len(missing) > 0 || match > s.persistedIndex:
 		s.effects = append(s.effects, notch.Persist{Hard: s.hardState, Entries: missing, Then: []notch.Send{{To: m.Leader, Message: reply}}})
-	} else {
+	default:
 		s.send(m.Leader, reply)
 	}
-	if c := min(m.Commit, reply.Match); c > s.commitIndex {
+	if c := min(m.Commit, match); c > s.commitIndex {
 		s.commitIndex = c
 		s.apply()
 	}
