Consensus: count a sync only for the entry that was synced

After a loss of power an acknowledged command could then be missing.

Cause: Persisted carried the replica's term instead of the entry's.

Now Persisted names the entry by index and term, and is ignored if the log holds another entry there. By the log's matching property all entries before it are the same, too. A sync that ends after the term has changed counts now, as it should.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -290,8 +290,8 @@
 }
 
 func (s *stepper) onPersisted(b notch.Persisted) {
-	if b.Term != s.hardState.Term || b.Index > s.log.lastIndex() {
-		return
+	if s.log.term(b.Index) != b.Term {
+		return // the entry was replaced after it was passed to the journal
 	}
 	s.persistedIndex = max(s.persistedIndex, b.Index)
 	if s.role == roleLeader {
--- a/drive/disk.go
+++ b/drive/disk.go
@@ -89,11 +89,10 @@
 		for _, m := range f.Then {
 			sim.send(n, m)
 		}
-		p := notch.Persisted{Term: f.Hard.Term}
 		if k := len(f.Entries); k > 0 {
-			p.Index = f.Entries[k-1].Index
+			last := f.Entries[k-1]
+			sim.Post(n, notch.Persisted{Term: last.Term, Index: last.Index})
 		}
-		sim.Post(n, p)
 	case notch.SaveSnapshot:
 		for _, m := range f.Then {
 			sim.send(n, m)
--- a/engine/journaler.go
+++ b/engine/journaler.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"slices"
+
 	notch "tamaracknotch"
 )
 
@@ -79,14 +81,13 @@
 	for _, r := range records {
 		sendAll(r.Then, send)
 	}
-	last := records[len(records)-1]
-	p := notch.Persisted{Term: last.Hard.Term}
-	for _, r := range records {
+	for _, r := range slices.Backward(records) {
 		if n := len(r.Entries); n > 0 {
-			p.Index = r.Entries[n-1].Index
+			last := r.Entries[n-1]
+			post(notch.Persisted{Term: last.Term, Index: last.Index})
+			return
 		}
 	}
-	post(p)
 }
 
 func sendAll(sends []notch.Send, send func(notch.Send)) {
--- a/event.go
+++ b/event.go
@@ -45,7 +45,8 @@
 	Entries  []LogEntry
 }
 
-// Persisted reports that the log is synced up to Index in Term.
+// Persisted reports that the log is synced up to the entry at Index, which has the
+// given Term.
 type Persisted struct {
 	Term  uint64
 	Index uint64
