Gateway: send an unanswered call again after twice the time each time

Cause: every gateway sent every unanswered call again each 400 ms, and once more whenever a replica had campaigned in vain and heard from the same leader again. A slow leader so got up to seven copies of a command within its timeout of 2.8 s, and each copy was committed.

Now the interval doubles from 400 ms to 1.6 s, and the calls are sent at once only to another leader or in another term.

Before: unexpected match for `^Send` at the second interval, and after LeaderChanged with the same leader and term.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,22 +12,41 @@
 	notch "tamaracknotch"
 )
 
-// resendInterval is the time after which an unanswered call is sent again.
-const resendInterval = 400 * time.Millisecond
+// The time after which an unanswered call is sent again doubles with each send to the same
+// leader, because a leader that is slow to answer is probably overloaded.
+const (
+	minResendInterval = 400 * time.Millisecond
+	maxResendInterval = 1600 * time.Millisecond
+)
 
 // call is a command, query or worker heartbeat that waits for its result.
 type call struct {
 	body     notch.Body // CommandSubmitted, HeartbeatSubmitted or QuerySubmitted
 	deadline notch.Time
-	sentAt   notch.Time // when it was last sent to the leader; zero: never
+	resendAt notch.Time    // when it is sent to the leader again; zero: at once
+	interval time.Duration // between the last send and resendAt
+}
+
+// withSend returns the call after it was sent.
+func (c call) withSend(now notch.Time) call {
+	c.interval = min(max(2*c.interval, minResendInterval), maxResendInterval)
+	c.resendAt = now.Add(c.interval)
+	return c
+}
+
+// withNewLeader returns the call as it is sent to a new leader: at once.
+func (c call) withNewLeader() call {
+	c.resendAt, c.interval = 0, 0
+	return c
 }
 
 // Part is the gateway state of one daemon.
 type Part struct {
-	self    string
-	leader  string
-	leading bool
-	calls   *immutable.SortedMap[uint64, call]
+	self       string
+	leader     string
+	lastLeader notch.LeaderChanged // the latest one that names a leader
+	leading    bool
+	calls      *immutable.SortedMap[uint64, call]
 }
 
 // New returns the gateway of the daemon named self.
@@ -45,14 +64,13 @@
 	case notch.QuerySubmitted:
 		return p.startCall(e.At, b.Ticket, call{body: b, deadline: b.Deadline})
 	case notch.LeaderChanged:
-		p.leader = b.Leader
-		return p.resend(e.At, 0)
+		return p.leaderChanged(e.At, b)
 	case notch.Leadership:
 		p.leading = b.Leading
 		return p, nil
 	case notch.Tick:
 		p, out := p.expire(e.At)
-		next, more := p.resend(e.At, resendInterval)
+		next, more := p.resend(e.At)
 		return next, append(out, more...)
 	case notch.Applied:
 		return p.applied(b)
@@ -69,7 +87,7 @@
 func (p Part) startCall(now notch.Time, ticket uint64, c call) (notch.Part, []notch.Effect) {
 	out := p.sendToLeader(ticket, c)
 	if len(out) > 0 {
-		c.sentAt = now
+		c = c.withSend(now)
 	}
 	p.calls = p.calls.Set(ticket, c)
 	return p, out
@@ -111,13 +129,32 @@
 	}
 }
 
-// resend sends every call whose last send is at least age ago, and every call that was
-// never sent.
-func (p Part) resend(now notch.Time, age time.Duration) (notch.Part, []notch.Effect) {
+// leaderChanged sends the calls to a new leader. If the leader of the same term is only known
+// again, the calls wait as long as if it had been known all the time.
+func (p Part) leaderChanged(now notch.Time, b notch.LeaderChanged) (notch.Part, []notch.Effect) {
+	p.leader = b.Leader
+	if b.Leader != "" && b != p.lastLeader {
+		p.lastLeader = b
+		p = p.withNewLeader()
+	}
+	return p.resend(now)
+}
+
+// withNewLeader returns p with every call due to be sent.
+func (p Part) withNewLeader() Part {
+	for it := p.calls.Iterator(); !it.Done(); {
+		ticket, c, _ := it.Next()
+		p.calls = p.calls.Set(ticket, c.withNewLeader())
+	}
+	return p
+}
+
+// resend sends the calls that are due.
+func (p Part) resend(now notch.Time) (notch.Part, []notch.Effect) {
 	var out []notch.Effect
 	for it := p.calls.Iterator(); !it.Done(); {
 		ticket, c, _ := it.Next()
-		if c.sentAt != 0 && now.Sub(c.sentAt) < age {
+		if now.Before(c.resendAt) {
 			continue
 		}
 		sent := p.sendToLeader(ticket, c)
@@ -125,8 +162,7 @@
 			continue
 		}
 		out = append(out, sent...)
-		c.sentAt = now
-		p.calls = p.calls.Set(ticket, c)
+		p.calls = p.calls.Set(ticket, c.withSend(now))
 	}
 	return p, out
 }
--- a/script/step.go
+++ b/script/step.go
@@ -66,7 +66,7 @@
 	notch.CancelJobs{}, notch.RegisterWorker{}, notch.PlaceTasks{}, notch.ReportTasks{}, notch.ReleaseWorker{},
 	notch.StopTasks{}, notch.QuarantineWorker{}, notch.ChangeReplicas{}, notch.Proposal{},
 	notch.ReplaceTables{}, notch.SubmitWorkflow{}, notch.CancelWorkflow{}, notch.AdmitAgent{}, notch.PlaceRuns{}, notch.EndRuns{},
-	notch.AgentAnnounced{}, notch.AgentAnswered{}, notch.QueryReceived{},
+	notch.AgentAnnounced{}, notch.AgentAnswered{}, notch.QueryReceived{}, notch.CommandSubmitted{},
 )
 
 func typesByName(values ...any) map[string]reflect.Type {
