Gateway: a command that was never sent is not run

Callers saw: while no leader was known, a submission waited for its whole timeout and got 504, as if it could still run, though no leader had ever received it.

Cause: the gateway ended every command whose deadline passed with ErrResultUnknown, and the front end's context ended at the same instant, before the reducer's next tick.

A command that was sent once, also to an earlier leader, still ends as unknown. The randomized test of workflows counts such answers as refusals, so it fails if such a workflow runs.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -193,7 +193,7 @@
 	ticket := e.lastTicket.Add(1)
 	deadline := e.cfg.Clock.Now().Add(defaultCallTimeout)
 	if d, ok := ctx.Deadline(); ok {
-		deadline = notch.TimeOf(d)
+		deadline = notch.TimeOf(d).Add(-answerMargin)
 	}
 	ch := make(chan notch.Effect, 1)
 	e.mu.Lock()
@@ -213,6 +213,10 @@
 	}
 }
 
+// answerMargin is how long before the deadline of its context a call ends. The reducer, which
+// ends it at a tick, knows whether the command was sent; the expired context doesn't tell.
+const answerMargin = 2 * tickInterval
+
 // defaultCallTimeout sets the deadline of a call whose context has none.
 const defaultCallTimeout = 10 * time.Second
 
--- /dev/null
+++ b/engine/engine_test.go
@@ -0,0 +1,30 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	notch "tamaracknotch"
+	"tamaracknotch/gateway"
+)
+
+// systemClock is the clock of the system.
+type systemClock struct{}
+
+func (systemClock) Now() notch.Time  { return notch.TimeOf(time.Now()) }
+func (systemClock) UnixMilli() int64 { return time.Now().UnixMilli() }
+
+// A caller was told that the outcome is unknown although its command was never sent.
+func TestSubmitWithoutLeaderIsNotRun(t *testing.T) {
+	e := New(Config{Control: notch.NewState(gateway.New("a")), Clock: systemClock{}}, nil)
+	defer e.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*answerMargin+tickInterval/2)
+	defer cancel()
+	_, got := e.Submit(ctx, notch.Noop{})
+	if want := notch.ErrNotRun; !errors.Is(got, want) {
+		t.Errorf("error: got %v, want %v", got, want)
+	}
+}
--- a/fake/workflow.go
+++ b/fake/workflow.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	notch "tamaracknotch"
 	"tamaracknotch/drive"
 )
@@ -14,7 +16,8 @@
 	s.workflowChecker.maxFailures[w.ID] = maxFailures
 	s.workflowChecker.submissions[w.ID]++
 	s.Submit(n, notch.SubmitWorkflow{Flow: w}, timeout, func(a notch.Answer) {
-		if r, ok := a.Result.(notch.WorkflowResult); ok && r.Outcome != notch.WorkflowAccepted {
+		r, ok := a.Result.(notch.WorkflowResult)
+		if ok && r.Outcome != notch.WorkflowAccepted || errors.Is(a.Err, notch.ErrNotRun) {
 			s.workflowChecker.refusals[w.ID]++
 		}
 		done(a)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 type call struct {
 	body     notch.Body // CommandSubmitted, HeartbeatSubmitted or QuerySubmitted
 	deadline notch.Time
+	sent     bool          // to any leader
 	resendAt notch.Time    // when it is sent to the leader again; zero: at once
 	interval time.Duration // between the last send and resendAt
 }
@@ -30,7 +31,7 @@
 // withSend returns the call after it was sent.
 func (c call) withSend(now notch.Time) call {
 	c.interval = min(max(2*c.interval, minResendInterval), maxResendInterval)
-	c.resendAt = now.Add(c.interval)
+	c.sent, c.resendAt = true, now.Add(c.interval)
 	return c
 }
 
@@ -188,9 +189,11 @@
 		return notch.AnswerWorker{Ticket: ticket}
 	case notch.QuerySubmitted:
 		return notch.AnswerQuery{Ticket: ticket, Err: notch.ErrResultUnknown}
-	default:
-		return notch.Answer{Ticket: ticket, Err: notch.ErrResultUnknown}
 	}
+	if !c.sent {
+		return notch.Answer{Ticket: ticket, Err: notch.ErrNotRun}
+	}
+	return notch.Answer{Ticket: ticket, Err: notch.ErrResultUnknown}
 }
 
 func (p Part) applied(b notch.Applied) (notch.Part, []notch.Effect) {
