Simulator: control loops that take time, with the engine's order of events

With a StepTime, the events of a daemon wait in a mailbox while its loop is busy, and leave it in the order of the engine.

--- a/drive/drive.go
+++ b/drive/drive.go
@@ -41,6 +41,7 @@
 	build             BuildFunc
 	generation        int            // grows at every start and kill; the ticks and timers of an earlier one are dropped
 	linkedGenerations map[string]int // by peer: its generation when the link was established; 0: no link
+	mailbox           mailbox
 }
 
 // Simulator runs a set of daemons in virtual time.
@@ -49,6 +50,9 @@
 	Net  Network
 	// OnEffect is called for every effect that the simulator doesn't carry out itself.
 	OnEffect func(n *Node, f notch.Effect)
+	// StepTime returns how long the control loop of a daemon takes to reduce an event. Events
+	// that arrive in that time wait. If it is nil, steps take no time.
+	StepTime func(n *Node, b notch.Body) time.Duration
 	// MessagesSent counts the messages between daemons, including lost ones.
 	MessagesSent int
 	// Steps counts the calls of notch.Step.
@@ -117,6 +121,7 @@
 func (sim *Simulator) Start(n *Node) {
 	n.Up = true
 	n.generation++
+	n.mailbox = mailbox{}
 	n.linkedGenerations = map[string]int{}
 	n.Self.Incarnation++
 	storage := uint64(0)
@@ -201,22 +206,33 @@
 	sim.After(linkCheckPeriod, func() { sim.updateLinks(n, generation) })
 }
 
-// Post delivers an event and a flush to a daemon's control state now. It does
-// nothing if the daemon is down.
+// Post delivers an event and a flush to a daemon's control state, now or when its control
+// loop has reduced the events before it. It does nothing if the daemon is down.
 func (sim *Simulator) Post(n *Node, b notch.Body) {
 	if !n.Up {
 		return
 	}
+	if sim.StepTime != nil {
+		n.mailbox.put(b)
+		if !n.mailbox.busy {
+			sim.work(n)
+		}
+		return
+	}
 	for _, body := range []notch.Body{b, notch.Flush{}} {
-		var effects []notch.Effect
-		sim.Steps++
-		n.Control, effects = notch.Step(n.Control, notch.Event{At: sim.Time(n), UnixMilli: sim.unixMilli(), Seed: sim.Rand.Uint64(), Body: body})
-		for _, f := range effects {
+		for _, f := range sim.step(n, body) {
 			sim.runEffect(n, f)
 		}
 	}
 }
 
+// step reduces an event of a daemon's control state and returns the effects.
+func (sim *Simulator) step(n *Node, b notch.Body) (effects []notch.Effect) {
+	sim.Steps++
+	n.Control, effects = notch.Step(n.Control, notch.Event{At: sim.Time(n), UnixMilli: sim.unixMilli(), Seed: sim.Rand.Uint64(), Body: b})
+	return effects
+}
+
 // PostLane delivers an event to a lane of a daemon now. It does nothing if the
 // daemon is down.
 func (sim *Simulator) PostLane(n *Node, lane int, b notch.Body) {
--- a/fake/workflow_test.go
+++ b/fake/workflow_test.go
@@ -162,28 +162,49 @@
 	return errs
 }
 
+// run submits workflows while failures occur, ends all failures and checks the results.
+func (w *workflowTest) run(t *testing.T) {
+	for range 100 {
+		w.submitOrRepeat()
+		w.queryOrCancel()
+		if w.Rand.IntN(5) == 0 {
+			w.changeFailures()
+		}
+		if w.Rand.IntN(3) == 0 {
+			w.changeAgentFailures()
+		}
+		w.Run(time.Duration(w.Rand.IntN(800)) * time.Millisecond)
+	}
+	w.endAllFailures()
+	if errs := w.checkResults(); len(errs) > 0 {
+		t.Fatalf("%s\nlast log messages:\n%s", strings.Join(errs[:min(len(errs), 12)], "\n"),
+			strings.Join(w.LogMessages[max(0, len(w.LogMessages)-20):], "\n"))
+	}
+}
+
 func TestRandomWorkflows(t *testing.T) {
 	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			newWorkflowTest(t, seed).run(t)
+		})
+	}
+}
+
+// maxBusyStepTime is the longest step of the control loops that are busy much of the time.
+const maxBusyStepTime = 3 * time.Millisecond
+
+// TestRandomWorkflowsBusy queues the events of each daemon while its control loop reduces others,
+// so that those of high priority overtake the rest.
+func TestRandomWorkflowsBusy(t *testing.T) {
+	for i := range *seeds / 4 {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			w := newWorkflowTest(t, seed)
-			for range 100 {
-				w.submitOrRepeat()
-				w.queryOrCancel()
-				if w.Rand.IntN(5) == 0 {
-					w.changeFailures()
-				}
-				if w.Rand.IntN(3) == 0 {
-					w.changeAgentFailures()
-				}
-				w.Run(time.Duration(w.Rand.IntN(800)) * time.Millisecond)
-			}
-			w.endAllFailures()
-			if errs := w.checkResults(); len(errs) > 0 {
-				t.Fatalf("seed %d:\n%s\nlast log messages:\n%s", seed, strings.Join(errs[:min(len(errs), 12)], "\n"),
-					strings.Join(w.LogMessages[max(0, len(w.LogMessages)-20):], "\n"))
-			}
+			w.StepTime = drive.ConstantStepTime(time.Duration(w.Rand.Int64N(int64(maxBusyStepTime))))
+			w.run(t)
 		})
 	}
 }
