Extend an entry's lease only if no replica may hold later tables

Cause: an entry whose lease ends extends it if a majority of the replicas knows no leader, since a leader elected later waits for it. That covers the slots, not the tables: a leader may be elected, accept an edit and be lost before the entry gets a grant from it. Every further loss of a leader then extended the lease again, for up to a minute, with tables older than the accepted ones.

Why it works: a replica answers with the latest revision that its log may lead to, committed or not. An accepted edit is in the log of a majority, so every majority that the entry hears contains a replica that names its revision. An entry with older tables therefore can't extend past one lease after the edit. A replica that isn't a voter with this data folder names none, and one of an older build sends no such field: neither counts, so in a mixed cluster an entry may lose its lease in a long election, but never keeps it wrongly.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -96,6 +96,7 @@
 	desiredVoters   []string        // names of the hosts in the pool control
 	linkedReplicas  []notch.Replica // replicas on daemons that were linked; with targetVoters, only those still linked
 	stopping        bool            // a graceful shutdown was requested
+	tablesRevision  uint64          // of the tables after the entries up to appliedIndex
 
 	unflushed          bool   // entries were appended since the last flush
 	sentToJournalIndex uint64 // last index handed to the journal as leader
@@ -220,12 +221,35 @@
 			s.campaign(roleCandidate)
 		}
 	case notch.LeaderQuery:
-		s.send(from, notch.LeaderHint{Term: s.hardState.Term, Leader: s.leader, SentAt: m.SentAt})
+		s.send(from, s.leaderHint(m))
 	case notch.LeaderHint:
 		s.observeTerm(m.Term)
 	}
 }
 
+// leaderHint returns the answer to a LeaderQuery.
+func (s *stepper) leaderHint(m notch.LeaderQuery) notch.LeaderHint {
+	hint := notch.LeaderHint{Term: s.hardState.Term, Leader: s.leader, SentAt: m.SentAt}
+	if s.isVoter() {
+		hint.LatestRevision = s.latestRevision()
+	}
+	return hint
+}
+
+// latestRevision returns the latest revision of the tables that the log may lead to. An
+// entry that isn't applied yet may already be committed, so it counts as an edit that
+// will be accepted.
+func (s *stepper) latestRevision() uint64 {
+	revision := s.tablesRevision
+	for i := s.appliedIndex + 1; i <= s.log.lastIndex(); i++ {
+		switch s.log.entryAt(i).Command.(type) {
+		case notch.EditTable, notch.ReplaceTables:
+			revision++
+		}
+	}
+	return revision
+}
+
 func (s *stepper) tick() {
 	if s.role == roleLeader {
 		s.leaderTick()
--- a/consensus/replicas.go
+++ b/consensus/replicas.go
@@ -43,6 +43,7 @@
 
 // onTablesCommitted takes the hosts of the pool control as the desired voters.
 func (s *stepper) onTablesCommitted(t notch.Tables) {
+	s.tablesRevision = t.Revision
 	pool, _ := t.Pool(notch.ControlPool)
 	s.desiredVoters = pool.Hosts
 	s.reconcileMembership()
--- a/fake/model_test.go
+++ b/fake/model_test.go
@@ -69,6 +69,18 @@
 	}
 }
 
+// versionAcceptedBy returns the greatest version whose edit was answered as accepted
+// before t.
+func (m *editModel) versionAcceptedBy(t time.Duration) uint64 {
+	greatest := uint64(0)
+	for version, e := range m.acceptedByVersion {
+		if e.answeredAt < t {
+			greatest = max(greatest, version)
+		}
+	}
+	return greatest
+}
+
 // checkFinalTables compares the tables at the end of the test with the answers that
 // operators got.
 func (m *editModel) checkFinalTables(t notch.Tables) {
--- a/fake/random_test.go
+++ b/fake/random_test.go
@@ -10,6 +10,7 @@
 	notch "tamaracknotch"
 	"tamaracknotch/consensus"
 	"tamaracknotch/drive"
+	"tamaracknotch/share"
 )
 
 var (
@@ -166,12 +167,17 @@
 }
 
 // checkRevisions checks that no entry that holds a lease, and so may send requests,
-// returns to an earlier revision of the tables.
+// returns to an earlier revision of the tables, or uses tables older than an edit that
+// was accepted more than a lease ago.
 func (c *controlTest) checkRevisions() {
+	oldest := c.model.versionAcceptedBy(c.Now() - share.DefaultTiming.Lease)
 	for _, n := range c.Nodes() {
 		if !c.Leased(n) {
 			continue
 		}
+		if v := c.Tables(n).RoutesVersion; v < oldest {
+			c.model.reportViolation("%v: %s uses version %d of the routes a lease after %d was accepted", c.Now(), n.Self.Name, v, oldest)
+		}
 		r := c.Tables(n).Revision
 		if r < c.lastRevisions[n.Self.Name] {
 			c.model.reportViolation("%v: %s uses revision %d of the tables after %d", c.Now(), n.Self.Name, r, c.lastRevisions[n.Self.Name])
--- a/message.go
+++ b/message.go
@@ -77,6 +77,10 @@
 	Term   uint64
 	Leader string // name of the leader; empty: none is known
 	SentAt Time   // echoed from LeaderQuery; zero otherwise
+	// LatestRevision is the latest revision of the tables that the sender's log may
+	// lead to, committed or not. Zero: not known, as the sender isn't a voter or only
+	// passes on the name of the leader.
+	LatestRevision uint64
 }
 
 // LeaderQuery asks a replica which replica leads.
--- a/share/entry.go
+++ b/share/entry.go
@@ -18,7 +18,7 @@
 	revision      uint64                // of the tables in force
 	voters        []string              // as listed in the last grant
 	knownReplicas []string              // daemons with a data folder that were linked; queried until a grant lists the voters
-	noLeaderAt    map[string]notch.Time // by replica: when the latest query was sent that it answered without a leader
+	noLeaderAt    map[string]notch.Time // by replica: when the latest query was sent that it answered without a leader or later tables
 
 	leaseEnd         notch.Time
 	leaseRequestedAt notch.Time             // when the report was sent that the last grant answers
@@ -304,7 +304,7 @@
 		}
 		return p, []notch.Effect{notch.Emit{Body: notch.LeaderChanged{Leader: m.Leader, Term: m.Term}}}
 	}
-	if m.SentAt == 0 || !slices.Contains(p.voters, from) {
+	if m.SentAt == 0 || !slices.Contains(p.voters, from) || !p.hasTablesOf(m) {
 		return p, nil
 	}
 	p.noLeaderAt = maps.Clone(p.noLeaderAt)
@@ -315,11 +315,19 @@
 	return p.extendLease(now)
 }
 
+// hasTablesOf reports whether the tables in force are at least as late as any that the
+// replica which sent m may have in its log. It is false if the replica doesn't say.
+func (p Entry) hasTablesOf(m notch.LeaderHint) bool {
+	return m.LatestRevision != 0 && m.LatestRevision <= p.revision
+}
+
 // extendLease extends the lease while there is no leader. If a majority of the
 // voters knew no leader at some instant, the next leader is elected after that
 // instant and waits for one lease duration before it reassigns slots. The entry may
 // therefore use its slots for one lease duration after that instant, but not for
-// longer than Timing.MaxExtension after its last renewal.
+// longer than Timing.MaxExtension after its last renewal. Every committed edit is in
+// the log of at least one replica of that majority, so none that was committed before
+// that instant is later than the tables in force.
 func (p Entry) extendLease(now notch.Time) (notch.Part, []notch.Effect) {
 	times := slices.Sorted(maps.Values(p.noLeaderAt))
 	majority := len(p.voters)/2 + 1
