Let a grant's tables take effect before its lease

Cause: the effects of a grant put the lease into force before the tables, and a request read the tables before it asked for the lease. A process that waits for its share of the processor between the two answers by tables of any age.

Evidence: the step script tables-before-lease failed before: the effects of one grant were "ToLanes{Body:{Seq:1 Until:..." and only then "ToLanes{Body:{Tables:...". That this happened in the reported case isn't shown.

Why it works: the lease and slots of a grant are emitted after its tables, and events are reduced in the order in which they were emitted, with all their consequences. A request asks for the lease first, so tables that it reads afterwards are those of that lease or later ones.

--- a/share/entry.go
+++ b/share/entry.go
@@ -62,6 +62,8 @@
 	case notch.TablesInForce:
 		p.revision = b.Tables.Revision
 		return p.sendReport(e.At)
+	case notch.SlotsGranted, notch.LeaseExtended: // emitted by onGrant
+		return p, []notch.Effect{notch.ToLanes{Body: b}}
 	case notch.PeerUp:
 		return p.onPeerUp(b.Hello), nil
 	case notch.LaneLoad:
@@ -266,7 +268,7 @@
 	}
 	p.entryCount = m.Entries
 	if renewal {
-		return p, append(out, notch.ToLanes{Body: notch.LeaseExtended{Until: p.leaseEnd}})
+		return p, append(out, notch.Emit{Body: notch.LeaseExtended{Until: p.leaseEnd}})
 	}
 	p.grantedSlots = slotsAfter(p.grantedSlots, m)
 	return p.grantToLanes(out)
@@ -288,11 +290,12 @@
 	return out
 }
 
-// grantToLanes sends the granted slots to the lanes.
+// grantToLanes sends the granted slots to the lanes. It emits them, so that they follow
+// the tables of the same grant, which were emitted before.
 func (p Entry) grantToLanes(out []notch.Effect) (notch.Part, []notch.Effect) {
 	p.laneSeq++
 	slots := notch.SlotsGranted{Seq: p.laneSeq, Until: p.leaseEnd, Entries: p.entryCount, Slots: allocationsOf(p.grantedSlots)}
-	return p, append(out, notch.ToLanes{Body: slots})
+	return p, append(out, notch.Emit{Body: slots})
 }
 
 // onLeaderHint handles a replica's report about who leads. It follows a leader that
