Refuse callers at a stopping entry whose lease has ended

A stopping entry answered by its tables, of any age, while it had no lease.

Cause: a stopping entry isn't ready but serves on, so the callers' handler ignored that answer of the readiness check, and with it the check of the lease.

Evidence: TestStoppingWithoutLease got 404, want 503 before.

Why it works: a front end gets the tables only together with a valid lease, else ErrNoLease; readiness is no longer asked. TestLeasedTablesDuringGrant guards the order in which lease and tables are read (got revision 1, want 2, with the order reversed).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -268,7 +268,7 @@
 	case d.stopping.Load():
 		return errors.Wrap(notch.ErrClosed, "stopping")
 	case !d.engine.Leased():
-		return errors.New("no lease from control: requests are refused")
+		return notch.ErrNoLease
 	}
 	return nil
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -274,6 +274,16 @@
 // Tables returns the revision of the tables in force.
 func (e *Engine) Tables() notch.Tables { return *e.tables.Load() }
 
+// LeasedTables returns the revision of the tables in force. The error is
+// [notch.ErrNoLease] if the entry holds no lease.
+func (e *Engine) LeasedTables() (notch.Tables, error) {
+	// The tables of a grant are stored before its lease, so they are read after it.
+	if !e.Leased() {
+		return notch.Tables{}, notch.ErrNoLease
+	}
+	return e.Tables(), nil
+}
+
 // Leased reports whether the entry holds a lease and so may send requests.
 func (e *Engine) Leased() bool { return e.cfg.Clock.Now() < notch.Time(e.leaseUntil.Load()) }
 
--- a/errors.go
+++ b/errors.go
@@ -17,6 +17,8 @@
 	ErrInvalid = errors.New("invalid")
 	// ErrCorrupt reports that the data on disk is damaged.
 	ErrCorrupt = errors.New("journal corrupt")
+	// ErrNoLease reports that the entry holds no lease, so that its tables may be out of date.
+	ErrNoLease = errors.New("no lease from control: requests are refused")
 	// ErrClosed reports that the process is stopping.
 	ErrClosed = errors.New("closed")
 )
--- a/system.go
+++ b/system.go
@@ -14,8 +14,9 @@
 	// operators' address of the daemon that the agent should call next; empty if
 	// none is known.
 	AnnounceAgent(ctx context.Context, a Agent) (address string, err error)
-	// Tables returns the revision of the tables in force at the daemon.
-	Tables() Tables
+	// LeasedTables returns the revision of the tables in force at the daemon. The error
+	// is ErrNoLease if callers must not be answered by them.
+	LeasedTables() (Tables, error)
 	// Ready returns nil if the load balancer should send callers to this daemon.
 	// Otherwise the error states why not.
 	Ready() error
