--- a/share/entry.go
+++ b/share/entry.go
@@ -18,7 +18,7 @@
 	revision      uint64                // of the tables in force
 	voters        []string              // as listed in the last grant
 	knownReplicas []string              // daemons with a data folder that were linked; queried until a grant lists the voters
-	noLeaderAt    map[string]notch.Time // by replica: when the latest query was sent that it answered without a leader
+	noLeaderAt    map[string]notch.Time // by replica: when the latest query was sent that it answered without a leader or later tables
 
 	leaseEnd         notch.Time
 	leaseRequestedAt notch.Time             // when the report was sent that the last grant answers
@@ -62,6 +62,8 @@
 	case notch.TablesInForce:
 		p.revision = b.Tables.Revision
 		return p.sendReport(e.At)
+	case notch.SlotsGranted, notch.LeaseExtended: // emitted by onGrant
+		return p, []notch.Effect{notch.ToLanes{Body: b}}
 	case notch.PeerUp:
 		return p.onPeerUp(b.Hello), nil
 	case notch.LaneLoad:
@@ -266,7 +268,7 @@
 	}
 	p.entryCount = m.Entries
 	if renewal {
-		return p, append(out, notch.ToLanes{Body: notch.LeaseExtended{Until: p.leaseEnd}})
+		return p, append(out, notch.Emit{Body: notch.LeaseExtended{Until: p.leaseEnd}})
 	}
 	p.grantedSlots = slotsAfter(p.grantedSlots, m)
 	return p.grantToLanes(out)
@@ -288,11 +290,12 @@
 	return out
 }
 
-// grantToLanes sends the granted slots to the lanes.
+// grantToLanes sends the granted slots to the lanes. It emits them, so that they follow
+// the tables of the same grant, which were emitted before.
 func (p Entry) grantToLanes(out []notch.Effect) (notch.Part, []notch.Effect) {
 	p.laneSeq++
 	slots := notch.SlotsGranted{Seq: p.laneSeq, Until: p.leaseEnd, Entries: p.entryCount, Slots: allocationsOf(p.grantedSlots)}
-	return p, append(out, notch.ToLanes{Body: slots})
+	return p, append(out, notch.Emit{Body: slots})
 }
 
 // onLeaderHint handles a replica's report about who leads. It follows a leader that
@@ -304,7 +307,7 @@
 		}
 		return p, []notch.Effect{notch.Emit{Body: notch.LeaderChanged{Leader: m.Leader, Term: m.Term}}}
 	}
-	if m.SentAt == 0 || !slices.Contains(p.voters, from) {
+	if m.SentAt == 0 || !slices.Contains(p.voters, from) || !p.hasTablesOf(m) {
 		return p, nil
 	}
 	p.noLeaderAt = maps.Clone(p.noLeaderAt)
@@ -315,11 +318,19 @@
 	return p.extendLease(now)
 }
 
+// hasTablesOf reports whether the tables in force are at least as late as any that the
+// replica which sent m may have in its log. It is false if the replica doesn't say.
+func (p Entry) hasTablesOf(m notch.LeaderHint) bool {
+	return m.LatestRevision != 0 && m.LatestRevision <= p.revision
+}
+
 // extendLease extends the lease while there is no leader. If a majority of the
 // voters knew no leader at some instant, the next leader is elected after that
 // instant and waits for one lease duration before it reassigns slots. The entry may
 // therefore use its slots for one lease duration after that instant, but not for
-// longer than Timing.MaxExtension after its last renewal.
+// longer than Timing.MaxExtension after its last renewal. Every committed edit is in
+// the log of at least one replica of that majority, so none that was committed before
+// that instant is later than the tables in force.
 func (p Entry) extendLease(now notch.Time) (notch.Part, []notch.Effect) {
 	times := slices.Sorted(maps.Values(p.noLeaderAt))
 	majority := len(p.voters)/2 + 1
