drive: append to a disk without copying its log

The entries are in the order of their indexes, so the cut is found by binary search. Init copies, because the caller may keep its slice.

--- a/drive/disk.go
+++ b/drive/disk.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"cmp"
 	"slices"
 
 	notch "tamaracknotch"
@@ -24,7 +25,7 @@
 
 // Init sets the content of an empty disk.
 func (d *Disk) Init(r notch.Recovered) {
-	d.hardState, d.entries, d.snapshot = r.Hard, r.Entries, r.Snapshot
+	d.hardState, d.entries, d.snapshot = r.Hard, slices.Clone(r.Entries), r.Snapshot
 }
 
 // Recover returns the synced content.
@@ -51,8 +52,8 @@
 		d.hardState = f.Hard
 		if len(f.Entries) > 0 {
 			first := f.Entries[0].Index
-			d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e notch.LogEntry) bool { return e.Index >= first })
-			d.entries = append(d.entries, f.Entries...)
+			kept, _ := slices.BinarySearchFunc(d.entries, first, func(e notch.LogEntry, index uint64) int { return cmp.Compare(e.Index, index) })
+			d.entries = append(d.entries[:kept], f.Entries...)
 		}
 	case notch.SaveSnapshot:
 		s := f.Snapshot
