--- a/drive/drive.go
+++ b/drive/drive.go
@@ -39,6 +39,7 @@
 	Hello   notch.Hello
 
 	build             BuildFunc
+	loop              controlLoop
 	generation        int            // grows at every start and kill; the ticks and timers of an earlier one are dropped
 	linkedGenerations map[string]int // by peer: its generation when the link was established; 0: no link
 }
@@ -49,6 +50,9 @@
 	Net  Network
 	// OnEffect is called for every effect that the simulator doesn't carry out itself.
 	OnEffect func(n *Node, f notch.Effect)
+	// StepTime, if set, makes the steps of the control states take time. Further events of a
+	// node wait meanwhile. Without it, every event is handled at once.
+	StepTime StepTimeFunc
 	// MessagesSent counts the messages between daemons, including lost ones.
 	MessagesSent int
 	// Steps counts the calls of notch.Step.
@@ -125,6 +129,7 @@
 		n.Disk.Failing = false
 	}
 	n.Hello = notch.Hello{Daemon: n.Self, Storage: storage}
+	n.loop = controlLoop{}
 	n.Control, n.Lanes = n.build(n.Self, storage)
 	if n.Disk != nil {
 		sim.Post(n, n.Disk.Recover())
@@ -201,22 +206,31 @@
 	sim.After(linkCheckPeriod, func() { sim.updateLinks(n, generation) })
 }
 
-// Post delivers an event and a flush to a daemon's control state now. It does
-// nothing if the daemon is down.
+// Post delivers an event and a flush to a daemon's control state now or, if its steps take time,
+// once the earlier events are handled. It does nothing if the daemon is down.
 func (sim *Simulator) Post(n *Node, b notch.Body) {
 	if !n.Up {
 		return
 	}
+	if sim.StepTime != nil {
+		sim.enqueue(n, b)
+		return
+	}
 	for _, body := range []notch.Body{b, notch.Flush{}} {
-		var effects []notch.Effect
-		sim.Steps++
-		n.Control, effects = notch.Step(n.Control, notch.Event{At: sim.Time(n), UnixMilli: sim.unixMilli(), Seed: sim.Rand.Uint64(), Body: body})
-		for _, f := range effects {
+		for _, f := range sim.step(n, body) {
 			sim.runEffect(n, f)
 		}
 	}
 }
 
+// step advances a daemon's control state by one event.
+func (sim *Simulator) step(n *Node, b notch.Body) []notch.Effect {
+	var effects []notch.Effect
+	sim.Steps++
+	n.Control, effects = notch.Step(n.Control, notch.Event{At: sim.Time(n), UnixMilli: sim.unixMilli(), Seed: sim.Rand.Uint64(), Body: b})
+	return effects
+}
+
 // PostLane delivers an event to a lane of a daemon now. It does nothing if the
 // daemon is down.
 func (sim *Simulator) PostLane(n *Node, lane int, b notch.Body) {
