--- a/fake/agent.go
+++ b/fake/agent.go
@@ -17,6 +17,7 @@
 	Broken    bool                                  // every run fails
 	Drift     float64                               // relative error of its clock
 	RunTime   func(ref notch.TaskRef) time.Duration // duration of a run
+	Report    func(ref notch.RunRef) notch.LiveRun  // what it reports about a run in progress; nil: half of it is done
 
 	generation      int           // grows at every start and kill; timers of an earlier one do nothing
 	startedAt       time.Duration // when this incarnation started
@@ -286,7 +287,7 @@
 		done = true
 		ans := notch.AgentAnswer{Kind: notch.AgentOK, Clock: s.agentClock(a), Born: a.Born}
 		for _, ref := range s.sortedRuns(a) {
-			ans.Live = append(ans.Live, notch.LiveRun{Run: ref, Progress: 50})
+			ans.Live = append(ans.Live, a.reportRun(ref))
 		}
 		for _, e := range a.ends {
 			ans.Ends = append(ans.Ends, e.ListedEnd)
@@ -300,3 +301,10 @@
 	a.pendingRenewals = append(a.pendingRenewals, answer)
 	s.After(o.Wait, answer)
 }
+
+func (a *Agent) reportRun(ref notch.RunRef) notch.LiveRun {
+	if a.Report == nil {
+		return notch.LiveRun{Run: ref, Progress: 50}
+	}
+	return a.Report(ref)
+}
--- a/fake/fake.go
+++ b/fake/fake.go
@@ -29,6 +29,7 @@
 	Divider   notch.Divider
 	Consensus consensus.Limits
 	Flow      flow.Timing
+	Workflows flow.Policy
 	Replicas  int // number of voters, which the leader chooses; 0: the pool control lists them
 }
 
@@ -37,7 +38,7 @@
 	return Policies{
 		Traffic: traffic.DefaultPolicy(), Batch: batch.DefaultPolicy(),
 		Divider: share.ByDemand{FloorDivisor: share.DefaultFloorDivisor}, Consensus: consensus.DefaultLimits,
-		Flow: flow.DefaultTiming,
+		Flow: flow.DefaultTiming, Workflows: flow.DefaultPolicy(),
 	}
 }
 
@@ -105,7 +106,7 @@
 	}
 	parts = append(parts, table.New(), claim.New(), batch.New(batch.WithPolicy(s.Policies.Batch)))
 	if self.Replica {
-		parts = append(parts, flow.New(self, flow.WithTiming(s.Policies.Flow)))
+		parts = append(parts, flow.New(self, flow.WithTiming(s.Policies.Flow), flow.WithPolicy(s.Policies.Workflows)))
 		parts = append(parts, share.NewLeader(self.Name, share.WithDivider(s.Policies.Divider)))
 	}
 	parts = append(parts, share.NewEntry(self, 1))
