--- a/drive/drive.go
+++ b/drive/drive.go
@@ -52,7 +52,7 @@
 	OnEffect func(n *Node, f notch.Effect)
 	// StepTime returns how long the control loop of a daemon takes to reduce an event. Events
 	// that arrive in that time wait. If it is nil, steps take no time.
-	StepTime func(n *Node, b notch.Body) time.Duration
+	StepTime StepTimeFunc
 	// MessagesSent counts the messages between daemons, including lost ones.
 	MessagesSent int
 	// Steps counts the calls of notch.Step.
--- a/drive/mailbox.go
+++ b/drive/mailbox.go
@@ -6,6 +6,10 @@
 	notch "tamaracknotch"
 )
 
+// StepTimeFunc returns how long the control loop of a daemon takes for a step, given the event and
+// the effects of the step.
+type StepTimeFunc func(n *Node, b notch.Body, effects []notch.Effect) time.Duration
+
 // mailbox holds the events that wait while the control loop of a daemon is busy. It orders
 // them as the loop of the engine does.
 type mailbox struct {
@@ -60,7 +64,7 @@
 		return
 	}
 	effects := sim.step(n, b)
-	sim.afterUnlessKilled(n, sim.StepTime(n, b), func() {
+	sim.afterUnlessKilled(n, sim.StepTime(n, b, effects), func() {
 		for _, f := range effects {
 			sim.runEffect(n, f)
 		}
@@ -69,6 +73,6 @@
 }
 
 // ConstantStepTime returns a StepTime by which every step takes d.
-func ConstantStepTime(d time.Duration) func(*Node, notch.Body) time.Duration {
-	return func(*Node, notch.Body) time.Duration { return d }
+func ConstantStepTime(d time.Duration) StepTimeFunc {
+	return func(*Node, notch.Body, []notch.Effect) time.Duration { return d }
 }
--- a/fake/overload_test.go
+++ b/fake/overload_test.go
@@ -11,7 +11,7 @@
 )
 
 // slowStepTime is the time of steps with which a leader of 350 agents can't keep up.
-func slowStepTime(_ *drive.Node, b notch.Body) time.Duration {
+func slowStepTime(_ *drive.Node, b notch.Body, _ []notch.Effect) time.Duration {
 	switch b.(type) {
 	case notch.Tick, notch.Flush:
 		return 8 * time.Millisecond
