Look up listed runs without a map for each answer

An agent's answer was turned into a map of its runs and ends, and each run of the agent was looked up in its workflow before that map was asked. The lists are short, so they are searched directly, and only missing runs are looked up.

--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -139,6 +139,33 @@
 	}
 }
 
+// BenchmarkLists measures the cost of an agent's answer that lists runs, by their number.
+func BenchmarkLists(b *testing.B) {
+	for _, n := range []int{5, 20, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newTestLeader(1)
+			s.submit("f", n)
+			var live []notch.LiveRun
+			var placed []notch.RunPlacement
+			for i := range n {
+				run := notch.RunRef{Task: notch.TaskRef{Flow: "f", Index: i}, Number: 1}
+				placed = append(placed, notch.RunPlacement{Task: run.Task, Life: notch.AgentIncarnation{Agent: "w0", Born: 1}})
+				live = append(live, notch.LiveRun{Run: run, Progress: 40, Measurement: 900})
+			}
+			s.commit(notch.PlaceRuns{Token: 2, Placements: placed})
+			o := notch.AgentOrder{Kind: notch.AgentRenew, Token: 2<<incarnationBits | 1}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.advance(100 * time.Millisecond)
+				s.step(notch.AgentAnswered{
+					Life: notch.AgentIncarnation{Agent: "w0", Born: 1}, Order: o, SentAt: s.now,
+					Answer: notch.AgentAnswer{Kind: notch.AgentOK, Clock: int64(s.now / 1e6), Born: 1, Live: live},
+				})
+			}
+		})
+	}
+}
+
 // placeColocated places n service tasks and n opportunistic tasks on the first agent, and returns
 // its list of live runs.
 func (s *testLeader) placeColocated(n int) []notch.LiveRun {
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	notch "tamaracknotch"
@@ -125,18 +126,14 @@
 	if b.Answer.Partial {
 		return nil
 	}
-	listed := map[notch.RunRef]bool{}
-	for _, l := range b.Answer.Live {
-		listed[l.Run] = true
-	}
-	for _, e := range b.Answer.Ends {
-		listed[e.End.Run] = true
-	}
 	var out []notch.RunEnd
 	refs, _ := s.runsByAgent.Get(a.ID)
 	for _, ref := range refs {
+		if lists(b.Answer, ref) {
+			continue
+		}
 		r, ok := s.run(ref)
-		if !ok || listed[ref] {
+		if !ok {
 			continue
 		}
 		if kind, ended := s.decideMissingRun(session, a, ref, r, b.SentAt); ended {
@@ -147,6 +144,12 @@
 	return out
 }
 
+// lists reports whether an answer lists a run, live or ended. Both lists are short.
+func lists(answer notch.AgentAnswer, ref notch.RunRef) bool {
+	return slices.ContainsFunc(answer.Live, func(l notch.LiveRun) bool { return l.Run == ref }) ||
+		slices.ContainsFunc(answer.Ends, func(e notch.ListedEnd) bool { return e.End.Run == ref })
+}
+
 // decideMissingRun decides how a run ended that is missing in the lists requested at the given
 // time. It returns false while the run may still be live or start.
 func (s *stepper) decideMissingRun(session agentSession, a notch.Agent, ref notch.RunRef, r notch.Run, requestedAt notch.Time) (notch.RunEndKind, bool) {
