Engine: renew the entries' leases before other events

Cause: an entry's report waited in the leader's mailbox behind the agents' lists, and a grant counts from the sending of the report.

Now the reports and grants of leases, the questions after the leader and their answers are of high priority. LeaveMessage is too: a report of an entry's next process must not overtake it.

Before: TestOverloadedLeaderRenewsEntryLeases: at 16.5s: entry e holds no lease, want one.

--- a/priority.go
+++ b/priority.go
@@ -8,8 +8,9 @@
 const (
 	NormalPriority Priority = iota
 	// HighPriority is that of the events by which replicas elect a leader, keep it and
-	// commit entries. Each costs little and causes a bounded number of others, so they
-	// don't keep normal events from being reduced.
+	// commit entries, and by which entries keep their leases. Each costs little and
+	// causes a bounded number of others, so they don't keep normal events from being
+	// reduced.
 	HighPriority
 )
 
@@ -29,6 +30,8 @@
 	switch m.(type) {
 	case VoteRequest, VoteReply, AppendRequest, AppendReply, InstallSnapshot, TimeoutNow:
 		return HighPriority
+	case EntryReport, EntryGrant, LeaveMessage, LeaderQuery, LeaderHint:
+		return HighPriority
 	}
 	return NormalPriority
 }
