Index the workflows that wait, and count those queued by route

Each plan walked all workflows that hadn't ended to find the few with tasks to place, each GET of a queue walked them to count those of a route, and each change of a task looked at all tasks of its workflow for one that failed. All of this is work on the control thread that grows with the backlog.

Kept instead, as data derived from the replicated state: the workflows with waiting tasks, the number of queued ones by route, the number of active ones. A failed task is seen where it is replaced.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -98,50 +98,6 @@
 	return notch.WorkflowResult{ID: id, Outcome: notch.WorkflowAccepted}
 }
 
-// putWorkflow replaces a workflow and updates the data derived from it.
-func (s *stepper) putWorkflow(w *graph.Workflow) {
-	id := w.Flow.ID
-	old, known := s.workflows.Get(id)
-	s.workflows = s.workflows.Set(id, w)
-	if w.State.Ended() && (!known || !old.State.Ended()) {
-		s.ended = s.ended.Append(id)
-		s.count("flows-"+string(w.State), 1)
-	}
-	if w.State.Ended() && w.LiveRuns() == 0 {
-		s.forgetHeadrooms(old) // w no longer has its stages
-		s.active = s.active.Delete(id)
-		return
-	}
-	if !known {
-		s.active = s.active.Set(id, w.At)
-	}
-}
-
-// forgetHeadrooms drops the headroom estimates of a workflow that has ended.
-func (s *stepper) forgetHeadrooms(w *graph.Workflow) {
-	if w == nil {
-		return
-	}
-	for i, st := range w.Flow.Stages {
-		if st.Target > 0 {
-			s.colocationModel = s.colocationModel.WithoutGroup(notch.TaskRef{Flow: w.Flow.ID, Stage: i})
-		}
-	}
-}
-
-// forgetEnded drops workflows that ended long ago. It depends only on the log entry's time, so
-// that all replicas agree.
-func (s *stepper) forgetEnded(at notch.Time) {
-	for s.ended.Len() > 0 {
-		id := s.ended.Get(0)
-		if w, ok := s.workflows.Get(id); ok && (at.Sub(w.Ended) < s.timing.EndedRetention || w.LiveRuns() > 0) {
-			return
-		}
-		s.workflows = s.workflows.Delete(id)
-		s.ended = s.ended.Slice(1, s.ended.Len())
-	}
-}
-
 // admitAgent records what an agent announced about itself. An announcement of an incarnation
 // that has left, or that is older than the known one, is ignored. An agent that drains keeps
 // draining until its next incarnation.
--- a/flow/dump.go
+++ b/flow/dump.go
@@ -26,7 +26,7 @@
 
 // Dump implements [notch.Dumper].
 func (p Part) Dump() any {
-	out := State{Part: "flow", Leading: p.leadership.Leading, Workflows: p.workflows.Len(), ActiveWorkflows: p.active.Len()}
+	out := State{Part: "flow", Leading: p.leadership.Leading, Workflows: p.workflows.Len(), ActiveWorkflows: p.active}
 	for it := p.agents.Iterator(); !it.Done(); {
 		id, a, _ := it.Next()
 		load, _ := p.loads.Get(id)
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -81,9 +81,11 @@
 	agents    *immutable.SortedMap[string, notch.Agent]
 
 	// Derived from the replicated state:
-	active *immutable.SortedMap[string, notch.Time] // acceptance times of the workflows that have tasks to run or runs to end, by id
-	loads  *immutable.Map[string, agentLoad]        // by agent
-	ended  *immutable.List[string]                  // workflows in the order of their end
+	waiting       *immutable.SortedMap[string, *graph.Workflow] // workflows with open tasks without a run, by id
+	active        int                                           // number of workflows that have tasks to run or runs to end
+	queuedByRoute *immutable.Map[string, int]                   // number of workflows of which no task has started
+	loads         *immutable.Map[string, agentLoad]             // by agent
+	ended         *immutable.List[string]                       // workflows in the order of their end
 
 	// Known to the leader only:
 	leadership           notch.Leadership
@@ -123,7 +125,9 @@
 func (p Part) withoutReplicatedState() Part {
 	p.workflows = immutable.NewMap[string, *graph.Workflow](nil)
 	p.agents = immutable.NewSortedMap[string, notch.Agent](nil)
-	p.active = immutable.NewSortedMap[string, notch.Time](nil)
+	p.waiting = immutable.NewSortedMap[string, *graph.Workflow](nil)
+	p.active = 0
+	p.queuedByRoute = immutable.NewMap[string, int](nil)
 	p.loads = immutable.NewMap[string, agentLoad](nil)
 	p.ended = immutable.NewList[string]()
 	return p
--- a/flow/query.go
+++ b/flow/query.go
@@ -17,21 +17,9 @@
 			result.Flow = notch.WorkflowStatus{ID: b.Question.Name, State: w.State}
 		}
 	case notch.QueryPending:
-		result.Pending = s.countPending(b.Question.Name)
+		result.Pending, _ = s.queuedByRoute.Get(b.Question.Name)
 	default:
 		return
 	}
 	s.emit(notch.QueryAnswered{Origin: b.Origin, Ticket: b.Ticket, View: result})
 }
-
-// countPending counts the workflows of a route of which no task has started.
-func (s *stepper) countPending(route string) int {
-	n := 0
-	for it := s.active.Iterator(); !it.Done(); {
-		id, _, _ := it.Next()
-		if w, ok := s.workflows.Get(id); ok && w.Flow.Route == route && w.State == notch.WorkflowQueued {
-			n++
-		}
-	}
-	return n
-}
--- a/flow/ready.go
+++ b/flow/ready.go
@@ -23,12 +23,8 @@
 // readyGroups lists the groups with tasks that could start now, in the order of the policy.
 func (s *stepper) readyGroups() []readyGroup {
 	var out []readyGroup
-	for it := s.active.Iterator(); !it.Done(); {
-		id, _, _ := it.Next()
-		w, ok := s.workflows.Get(id)
-		if !ok || w.State.Ended() {
-			continue
-		}
+	for it := s.waiting.Iterator(); !it.Done(); {
+		_, w, _ := it.Next()
 		for g := range w.GroupCount() {
 			if w.Waiting(g) > 0 && w.Due(g, s.unixMilli) {
 				out = append(out, readyGroup{workflow: w, group: g, rank: s.policy.Order.Rank(s.rankInput(w, g), s.now)})
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -41,9 +41,7 @@
 			if w.State.Ended() {
 				ended = append(ended, w)
 			}
-			if !w.State.Ended() || w.LiveRuns() > 0 {
-				s.active = s.active.Set(r.Flow.ID, w.At)
-			}
+			s.indexWorkflow(nil, w)
 			w.EachRun(func(ref notch.TaskRef, _ notch.WorkflowTask, run notch.Run) {
 				s.addRun(run.Life.Agent, notch.RunRef{Task: ref, Number: run.Number}, &w.Flow.Stages[ref.Stage])
 			})
--- a/graph/graph.go
+++ b/graph/graph.go
@@ -113,6 +113,11 @@
 // Unfinished returns the number of tasks of a group that aren't done.
 func (w *Workflow) Unfinished(group int) int { return w.unfinished[group] }
 
+// HasWaiting reports whether a task of the workflow is open, may have runs and has none.
+func (w *Workflow) HasWaiting() bool {
+	return !w.State.Ended() && slices.ContainsFunc(w.waiting, func(n int) bool { return n > 0 })
+}
+
 // Waiting returns the number of tasks of a group that are open and have no run.
 func (w *Workflow) Waiting(group int) int { return w.waiting[group] }
 
@@ -156,15 +161,15 @@
 		next.waiting = slices.Clone(w.waiting)
 		next.waiting[g] += change
 	}
-	return next.deriveState(at)
+	return next.deriveState(t, at)
 }
 
-// deriveState sets the state that follows from the tasks. It modifies w, which must be a copy
-// that isn't shared yet.
-func (w *Workflow) deriveState(at notch.Time) *Workflow {
+// deriveState sets the state that follows from the tasks, of which t was replaced last. It modifies
+// w, which must be a copy that isn't shared yet.
+func (w *Workflow) deriveState(t notch.WorkflowTask, at notch.Time) *Workflow {
 	switch {
 	case w.State.Ended():
-	case slices.ContainsFunc(w.Tasks, hasFailed):
+	case t.State == notch.TaskFailed:
 		w.State, w.Ended = notch.WorkflowFailed, at
 	case !slices.ContainsFunc(w.unfinished, func(n int) bool { return n > 0 }):
 		w.State, w.Ended = notch.WorkflowCompleted, at
@@ -174,10 +179,6 @@
 	return w.dropUnneeded()
 }
 
-func hasFailed(tasks []notch.WorkflowTask) bool {
-	return slices.ContainsFunc(tasks, func(t notch.WorkflowTask) bool { return t.State == notch.TaskFailed })
-}
-
 // dropUnneeded drops the tasks and the specification of a workflow that has ended and has no
 // runs left. It modifies w, which must be a copy that isn't shared yet.
 func (w *Workflow) dropUnneeded() *Workflow {
