--- a/flow/plan.go
+++ b/flow/plan.go
@@ -11,14 +11,15 @@
 // The limits of one plan. What it didn't reach, it leaves to the next one.
 const (
 	maxPlacements = 500
-	maxAgentViews = 40_000 // examined agent views
+	maxScores     = 100_000 // agents that are scored, once for each group
 )
 
 // The pause after a plan in proportion to what it examined. It leaves most of the control thread
 // to other work, however much there is to plan.
 const (
 	pausePerGroup     = 4 * time.Microsecond
-	pausePerAgentView = 500 * time.Nanosecond
+	pausePerAgentView = 4 * time.Microsecond
+	pausePerScore     = 200 * time.Nanosecond
 )
 
 // plan proposes placements. Only one proposal is under way at a time, so that each plan knows
@@ -42,38 +43,54 @@
 // planner is a stepper during a plan.
 type planner struct {
 	*stepper
-	placer notch.RunPlacer
-	pools  map[string]*agentViews // by name
-	placed []notch.RunPlacement
-	made   notch.PlanMade
+	placer     notch.RunPlacer
+	pools      map[string]*agentViews // by name
+	placed     []notch.RunPlacement
+	agentViews int // number of agent views that were made
+	made       notch.PlanMade
 }
 
-// assign chooses an agent for each task that fits on one.
+// assign chooses an agent for each task that fits on one, and reports the plan.
 func (s *stepper) assign(groups []readyGroup) []notch.RunPlacement {
 	p := planner{stepper: s, placer: s.policy.Placer(s.colocationModel), pools: map[string]*agentViews{}}
 	for _, g := range groups {
 		p.made.Ready += g.workflow.Waiting(g.group)
 	}
-	first := s.firstGroup(groups)
-	s.planResumesAt = notch.TaskRef{}
-	for i := range groups {
-		g := groups[(first+i)%len(groups)]
-		if p.made.AgentsExamined >= maxAgentViews {
-			s.planResumesAt, p.made.Incomplete = g.ref(), true
-			break
+	p.placeGroups(groups)
+	s.needsPlan = p.made.Incomplete
+	s.planPause = time.Duration(len(groups))*pausePerGroup + time.Duration(p.agentViews)*pausePerAgentView +
+		time.Duration(p.made.AgentsExamined)*pausePerScore
+	p.report()
+	return p.placed
+}
+
+// placeGroups places the groups in their order until half of maxScores is used. The other half
+// goes to the groups from the one on that the plan before didn't reach, so that every group has
+// its turn and the most urgent ones never wait for it.
+func (p *planner) placeGroups(groups []readyGroup) {
+	n := p.placeUntil(groups, maxScores/2)
+	rest := groups[n:]
+	first := max(0, slices.IndexFunc(rest, func(g readyGroup) bool { return g.ref() == p.planResumesAt }))
+	rest = slices.Concat(rest[first:], rest[:first])
+	n = p.placeUntil(rest, maxScores)
+	p.planResumesAt = notch.TaskRef{}
+	if n < len(rest) {
+		p.planResumesAt, p.made.Incomplete = rest[n].ref(), true
+	}
+}
+
+// placeUntil places groups until the plan has reached a number of scores or maxPlacements. It
+// returns how many groups it dealt with.
+func (p *planner) placeUntil(groups []readyGroup, scores int) int {
+	for i, g := range groups {
+		if p.made.AgentsExamined >= scores || len(p.placed) == maxPlacements {
+			return i
 		}
-		if pool := s.poolOf(g.workflow); !pool.Standby {
+		if pool := p.poolOf(g.workflow); !pool.Standby {
 			p.placeGroup(g, p.viewsOf(pool))
 		}
-		if len(p.placed) == maxPlacements {
-			p.made.Incomplete = true
-			break
-		}
 	}
-	s.needsPlan = p.made.Incomplete
-	s.planPause = time.Duration(len(groups))*pausePerGroup + time.Duration(p.made.AgentsExamined)*pausePerAgentView
-	p.report()
-	return p.placed
+	return len(groups)
 }
 
 // report emits what the plan looked at, unless no task could start.
@@ -84,18 +101,12 @@
 	}
 }
 
-// firstGroup returns the index of the group with which a plan starts: the one at which the plan
-// before reached its limit of agent views, so that every group has its turn.
-func (s *stepper) firstGroup(groups []readyGroup) int {
-	return max(0, slices.IndexFunc(groups, func(g readyGroup) bool { return g.ref() == s.planResumesAt }))
-}
-
 // viewsOf returns the views of a pool's agents.
 func (p *planner) viewsOf(pool notch.Pool) *agentViews {
 	v := p.pools[pool.Name]
 	if v == nil {
 		v = p.agentViewsOf(pool)
-		p.made.AgentsExamined += p.sessions.Len()
+		p.agentViews += p.sessions.Len()
 		p.pools[pool.Name] = v
 	}
 	return v
