--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -84,6 +84,7 @@
 	votes          []string // names of the voters that granted their vote
 	electionDue    notch.Time
 	lastHeardAt    notch.Time // when a leader's message last arrived
+	lastTickAt     notch.Time // zero before the first tick
 	transferTarget bool       // the leader asked this replica to take over
 
 	// The leader's state.
@@ -93,9 +94,11 @@
 	readyAt         notch.Time // when that entry was committed; zero before
 	quorumContactAt notch.Time // send time of the latest message that a quorum answered
 	electedAt       notch.Time
+	quorumDue       notch.Time      // when the leader steps down, unless a quorum answers later messages
 	desiredVoters   []string        // names of the hosts in the pool control
 	linkedReplicas  []notch.Replica // replicas on daemons that were linked; with targetVoters, only those still linked
 	stopping        bool            // a graceful shutdown was requested
+	tablesRevision  uint64          // of the tables after the entries up to appliedIndex
 
 	unflushed          bool   // entries were appended since the last flush
 	sentToJournalIndex uint64 // last index handed to the journal as leader
@@ -220,13 +223,37 @@
 			s.campaign(roleCandidate)
 		}
 	case notch.LeaderQuery:
-		s.send(from, notch.LeaderHint{Term: s.hardState.Term, Leader: s.leader, SentAt: m.SentAt})
+		s.send(from, s.leaderHint(m))
 	case notch.LeaderHint:
 		s.observeTerm(m.Term)
 	}
 }
 
+// leaderHint returns the answer to a LeaderQuery.
+func (s *stepper) leaderHint(m notch.LeaderQuery) notch.LeaderHint {
+	hint := notch.LeaderHint{Term: s.hardState.Term, Leader: s.leader, SentAt: m.SentAt}
+	if s.isVoter() {
+		hint.LatestRevision = s.latestRevision()
+	}
+	return hint
+}
+
+// latestRevision returns the latest revision of the tables that the log may lead to. An
+// entry that isn't applied yet may already be committed, so it counts as an edit that
+// will be accepted.
+func (s *stepper) latestRevision() uint64 {
+	revision := s.tablesRevision
+	for i := s.appliedIndex + 1; i <= s.log.lastIndex(); i++ {
+		switch s.log.entryAt(i).Command.(type) {
+		case notch.EditTable, notch.ReplaceTables:
+			revision++
+		}
+	}
+	return revision
+}
+
 func (s *stepper) tick() {
+	s.excludeStall()
 	if s.role == roleLeader {
 		s.leaderTick()
 		return
@@ -240,6 +267,19 @@
 	s.campaign(rolePreCandidate)
 }
 
+// excludeStall postpones the timeouts by the time for which this replica didn't run. It sent
+// nothing in that time, and may not have received yet what the others sent.
+func (s *stepper) excludeStall() {
+	stall := s.now.Sub(s.lastTickAt) - s.timing.HeartbeatInterval
+	firstTick := s.lastTickAt == 0
+	s.lastTickAt = s.now
+	if firstTick || stall <= 0 {
+		return
+	}
+	s.electionDue = min(s.electionDue.Add(stall), s.now.Add(2*s.timing.ElectionTimeout))
+	s.quorumDue = min(s.quorumDue.Add(stall), s.now.Add(s.timing.ElectionTimeout))
+}
+
 // resetElection restarts the randomized election timeout.
 func (s *stepper) resetElection() {
 	span := uint64(s.timing.ElectionTimeout)
@@ -274,8 +314,8 @@
 }
 
 func (s *stepper) onPersisted(b notch.Persisted) {
-	if b.Term != s.hardState.Term || b.Index > s.log.lastIndex() {
-		return
+	if s.log.term(b.Index) != b.Term {
+		return // the entry was replaced after it was passed to the journal
 	}
 	s.persistedIndex = max(s.persistedIndex, b.Index)
 	if s.role == roleLeader {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -79,6 +79,7 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, log: log, registry: registry}
+	registerUsage(registry)
 	if s.Protocol != OwnProtocol {
 		newAdapter, ok := adapters[s.Protocol]
 		if !ok {
@@ -268,7 +269,7 @@
 	case d.stopping.Load():
 		return errors.Wrap(notch.ErrClosed, "stopping")
 	case !d.engine.Leased():
-		return errors.New("no lease from control: requests are refused")
+		return notch.ErrNoLease
 	}
 	return nil
 }
--- a/engine/journaler.go
+++ b/engine/journaler.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"slices"
+
 	notch "tamaracknotch"
 )
 
@@ -11,17 +13,17 @@
 	done    chan struct{}
 }
 
-func newJournaler(j notch.Journal, post func(notch.Body), send func(notch.Send)) *journaler {
-	w := &journaler{effects: newMailbox[notch.Effect](), done: make(chan struct{})}
+func newJournaler(j notch.Journal, clock notch.Clock, post func(notch.Body), send func(notch.Send)) *journaler {
+	w := &journaler{effects: newMailbox[notch.Effect](clock), done: make(chan struct{})}
 	go func() {
 		defer close(w.done)
 		for range w.effects.ready {
-			batch, closed := w.effects.take()
-			if err := syncBatch(j, batch, post, send); err != nil {
+			b := w.effects.take()
+			if err := syncBatch(j, b.items, post, send); err != nil {
 				post(notch.PersistFailed{Reason: err.Error()})
 				return
 			}
-			if closed {
+			if b.closed {
 				return
 			}
 		}
@@ -79,14 +81,13 @@
 	for _, r := range records {
 		sendAll(r.Then, send)
 	}
-	last := records[len(records)-1]
-	p := notch.Persisted{Term: last.Hard.Term}
-	for _, r := range records {
+	for _, r := range slices.Backward(records) {
 		if n := len(r.Entries); n > 0 {
-			p.Index = r.Entries[n-1].Index
+			last := r.Entries[n-1]
+			post(notch.Persisted{Term: last.Term, Index: last.Index})
+			return
 		}
 	}
-	post(p)
 }
 
 func sendAll(sends []notch.Send, send func(notch.Send)) {
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -48,31 +48,45 @@
 	placed     []notch.RunPlacement
 	agentViews int // number of agent views that were made
 	scores     int // number of agents that were scored
+	made       notch.PlanMade
 }
 
 // assign chooses an agent for each task that fits on one.
 func (s *stepper) assign(groups []readyGroup) []notch.RunPlacement {
 	p := planner{stepper: s, placer: s.policy.Placer(s.colocationModel), pools: map[string]*agentViews{}}
+	for _, g := range groups {
+		p.made.Ready += g.workflow.Waiting(g.group)
+	}
 	first := s.firstGroup(groups)
 	s.planResumesAt = notch.TaskRef{}
 	for i := range groups {
 		g := groups[(first+i)%len(groups)]
 		if p.scores >= maxScores {
-			s.planResumesAt, s.needsPlan = g.ref(), true
+			s.planResumesAt, p.made.Incomplete = g.ref(), true
 			break
 		}
 		if pool := s.poolOf(g.workflow); !pool.Standby {
 			p.placeGroup(g, p.viewsOf(pool))
 		}
 		if len(p.placed) == maxPlacements {
-			s.needsPlan = true
+			p.made.Incomplete = true
 			break
 		}
 	}
+	s.needsPlan = p.made.Incomplete
 	s.planPause = time.Duration(len(groups))*pausePerGroup + time.Duration(p.agentViews)*pausePerAgentView + time.Duration(p.scores)*pausePerScore
+	p.report()
 	return p.placed
 }
 
+// report emits what the plan looked at, unless no task could start.
+func (p *planner) report() {
+	p.made.Placed, p.made.AgentsExamined = len(p.placed), p.agentViews+p.scores
+	if p.made.Ready > 0 {
+		p.out = append(p.out, p.made)
+	}
+}
+
 // firstGroup returns the index of the group with which a plan starts: the one at which the plan
 // before reached its limit of scores, so that every group has its turn.
 func (s *stepper) firstGroup(groups []readyGroup) int {
@@ -94,6 +108,7 @@
 func (p *planner) placeGroup(g readyGroup, v *agentViews) {
 	st := g.workflow.Stage(g.group)
 	if v.shortages.include(st) {
+		p.made.StagesWithoutAgent++
 		return
 	}
 	v.setStage(g.ref(), st)
@@ -104,6 +119,7 @@
 		i := scores.Next(p.now.Sub(t.Idle), seed)
 		if i < 0 {
 			v.addShortage(scores)
+			p.made.StagesWithoutAgent++
 			return false
 		}
 		seed++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,22 +12,42 @@
 	notch "tamaracknotch"
 )
 
-// resendInterval is the time after which an unanswered call is sent again.
-const resendInterval = 400 * time.Millisecond
+// The time after which an unanswered call is sent again doubles with each send to the same
+// leader, because a leader that is slow to answer is probably overloaded.
+const (
+	minResendInterval = 400 * time.Millisecond
+	maxResendInterval = 1600 * time.Millisecond
+)
 
 // call is a command, query or worker heartbeat that waits for its result.
 type call struct {
 	body     notch.Body // CommandSubmitted, HeartbeatSubmitted or QuerySubmitted
 	deadline notch.Time
-	sentAt   notch.Time // when it was last sent to the leader; zero: never
+	sent     bool          // to any leader
+	resendAt notch.Time    // when it is sent to the leader again; zero: at once
+	interval time.Duration // between the last send and resendAt
+}
+
+// withSend returns the call after it was sent.
+func (c call) withSend(now notch.Time) call {
+	c.interval = min(max(2*c.interval, minResendInterval), maxResendInterval)
+	c.sent, c.resendAt = true, now.Add(c.interval)
+	return c
+}
+
+// withNewLeader returns the call as it is sent to a new leader: at once.
+func (c call) withNewLeader() call {
+	c.resendAt, c.interval = 0, 0
+	return c
 }
 
 // Part is the gateway state of one daemon.
 type Part struct {
-	self    string
-	leader  string
-	leading bool
-	calls   *immutable.SortedMap[uint64, call]
+	self       string
+	leader     string
+	lastLeader notch.LeaderChanged // the latest one that names a leader
+	leading    bool
+	calls      *immutable.SortedMap[uint64, call]
 }
 
 // New returns the gateway of the daemon named self.
@@ -45,14 +65,19 @@
 	case notch.QuerySubmitted:
 		return p.startCall(e.At, b.Ticket, call{body: b, deadline: b.Deadline})
 	case notch.LeaderChanged:
-		p.leader = b.Leader
-		return p.resend(e.At, 0)
+		return p.leaderChanged(e.At, b)
 	case notch.Leadership:
+		if b.Leading == p.leading {
+			return nil, nil
+		}
 		p.leading = b.Leading
 		return p, nil
 	case notch.Tick:
+		if p.calls.Len() == 0 {
+			return nil, nil
+		}
 		p, out := p.expire(e.At)
-		next, more := p.resend(e.At, resendInterval)
+		next, more := p.resend(e.At)
 		return next, append(out, more...)
 	case notch.Applied:
 		return p.applied(b)
@@ -63,13 +88,13 @@
 	case notch.MessageReceived:
 		return p.receive(b.From, b.Message)
 	}
-	return p, nil
+	return nil, nil
 }
 
 func (p Part) startCall(now notch.Time, ticket uint64, c call) (notch.Part, []notch.Effect) {
 	out := p.sendToLeader(ticket, c)
 	if len(out) > 0 {
-		c.sentAt = now
+		c = c.withSend(now)
 	}
 	p.calls = p.calls.Set(ticket, c)
 	return p, out
@@ -111,13 +136,32 @@
 	}
 }
 
-// resend sends every call whose last send is at least age ago, and every call that was
-// never sent.
-func (p Part) resend(now notch.Time, age time.Duration) (notch.Part, []notch.Effect) {
+// leaderChanged sends the calls to a new leader. If the leader of the same term is only known
+// again, the calls wait as long as if it had been known all the time.
+func (p Part) leaderChanged(now notch.Time, b notch.LeaderChanged) (notch.Part, []notch.Effect) {
+	p.leader = b.Leader
+	if b.Leader != "" && b != p.lastLeader {
+		p.lastLeader = b
+		p = p.withNewLeader()
+	}
+	return p.resend(now)
+}
+
+// withNewLeader returns p with every call due to be sent.
+func (p Part) withNewLeader() Part {
+	for it := p.calls.Iterator(); !it.Done(); {
+		ticket, c, _ := it.Next()
+		p.calls = p.calls.Set(ticket, c.withNewLeader())
+	}
+	return p
+}
+
+// resend sends the calls that are due.
+func (p Part) resend(now notch.Time) (notch.Part, []notch.Effect) {
 	var out []notch.Effect
 	for it := p.calls.Iterator(); !it.Done(); {
 		ticket, c, _ := it.Next()
-		if c.sentAt != 0 && now.Sub(c.sentAt) < age {
+		if now.Before(c.resendAt) {
 			continue
 		}
 		sent := p.sendToLeader(ticket, c)
@@ -125,8 +169,7 @@
 			continue
 		}
 		out = append(out, sent...)
-		c.sentAt = now
-		p.calls = p.calls.Set(ticket, c)
+		p.calls = p.calls.Set(ticket, c.withSend(now))
 	}
 	return p, out
 }
@@ -152,9 +195,11 @@
 		return notch.AnswerWorker{Ticket: ticket}
 	case notch.QuerySubmitted:
 		return notch.AnswerQuery{Ticket: ticket, Err: notch.ErrResultUnknown}
-	default:
-		return notch.Answer{Ticket: ticket, Err: notch.ErrResultUnknown}
 	}
+	if !c.sent {
+		return notch.Answer{Ticket: ticket, Err: notch.ErrNotRun}
+	}
+	return notch.Answer{Ticket: ticket, Err: notch.ErrResultUnknown}
 }
 
 func (p Part) applied(b notch.Applied) (notch.Part, []notch.Effect) {
@@ -162,14 +207,14 @@
 		return p.answer(b.Ticket, b.Result)
 	}
 	if b.Origin == "" || !p.leading {
-		return p, nil
+		return nil, nil
 	}
-	return p, []notch.Effect{notch.Send{To: b.Origin, Message: notch.Outcome{Ticket: b.Ticket, Result: b.Result}}}
+	return nil, []notch.Effect{notch.Send{To: b.Origin, Message: notch.Outcome{Ticket: b.Ticket, Result: b.Result}}}
 }
 
 func (p Part) answer(ticket uint64, r notch.Result) (notch.Part, []notch.Effect) {
 	if _, ok := p.calls.Get(ticket); !ok {
-		return p, nil
+		return nil, nil
 	}
 	p.calls = p.calls.Delete(ticket)
 	return p, []notch.Effect{notch.Answer{Ticket: ticket, Result: r}}
@@ -177,10 +222,10 @@
 
 func (p Part) heartbeatAnswered(b notch.HeartbeatAnswered) (notch.Part, []notch.Effect) {
 	if b.Origin != p.self {
-		return p, []notch.Effect{notch.Send{To: b.Origin, Message: notch.WorkerReply{Ticket: b.Ticket, Reply: b.Reply}}}
+		return nil, []notch.Effect{notch.Send{To: b.Origin, Message: notch.WorkerReply{Ticket: b.Ticket, Reply: b.Reply}}}
 	}
 	if _, ok := p.calls.Get(b.Ticket); !ok {
-		return p, nil
+		return nil, nil
 	}
 	p.calls = p.calls.Delete(b.Ticket)
 	return p, []notch.Effect{notch.AnswerWorker{Ticket: b.Ticket, Reply: b.Reply}}
@@ -188,10 +233,10 @@
 
 func (p Part) queryAnswered(b notch.QueryAnswered) (notch.Part, []notch.Effect) {
 	if b.Origin != p.self {
-		return p, []notch.Effect{notch.Send{To: b.Origin, Message: notch.QueryReply{Ticket: b.Ticket, View: b.View}}}
+		return nil, []notch.Effect{notch.Send{To: b.Origin, Message: notch.QueryReply{Ticket: b.Ticket, View: b.View}}}
 	}
 	if _, ok := p.calls.Get(b.Ticket); !ok {
-		return p, nil
+		return nil, nil
 	}
 	p.calls = p.calls.Delete(b.Ticket)
 	return p, []notch.Effect{notch.AnswerQuery{Ticket: b.Ticket, View: b.View}}
@@ -208,12 +253,12 @@
 	}
 	body := leaderRequest(from, m)
 	if body == nil {
-		return p, nil
+		return nil, nil
 	}
 	if !p.leading {
-		return p, []notch.Effect{notch.Send{To: from, Message: notch.LeaderHint{Leader: p.leader}}}
+		return nil, []notch.Effect{notch.Send{To: from, Message: notch.LeaderHint{Leader: p.leader}}}
 	}
-	return p, []notch.Effect{notch.Emit{Body: body}}
+	return nil, []notch.Effect{notch.Emit{Body: body}}
 }
 
 // leaderRequest returns the event for a message that is a request to the leader, or nil for
