ctl: give each script a loopback address of its own

Cause: a script's setup frees its nine ports before the daemons open them, and the setup of a script that runs in parallel, or an outgoing connection, can be given the same port in between; one log shows the daemons of two scripts on one port. Now no two scripts share an address, so their ports can't meet.

--- a/ctl/script_test.go
+++ b/ctl/script_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -37,14 +38,18 @@
 	})
 }
 
-// setPorts sets P1 to P9 to addresses with free ports. The listeners stay open until
-// all ports are chosen, so that scripts that run in parallel don't get the same ports.
-// Another process can still take a port before the script uses it; then the program
-// fails with "address already in use".
+// lastScript numbers the scripts of this process.
+var lastScript atomic.Uint32
+
+// setPorts sets P1 to P9 to addresses with free ports, on a loopback address that the script
+// shares with no other script: neither a script that runs in parallel nor an outgoing connection
+// takes a port between its choice and its use.
 func setPorts(e *testscript.Env) error {
+	pid := os.Getpid()
+	host := net.IPv4(127, byte(1+pid>>8%200), byte(pid), byte(lastScript.Add(1))).String()
 	var listeners []net.Listener
 	for i := 1; i <= 9; i++ {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		if err != nil {
 			return err
 		}
