--- a/errors.go
+++ b/errors.go
@@ -9,8 +9,6 @@
 	ErrResultUnknown = errors.New("outcome not known: resend with the same id")
 	// ErrNotRun reports that the work provably did not run.
 	ErrNotRun = errors.New("not run")
-	// ErrUnknownOutcome reports that the work may have run.
-	ErrUnknownOutcome = errors.New("outcome unknown: the work may have run")
 	// ErrConflict reports that an edit was based on another version of the table.
 	ErrConflict = errors.New("conflict: the table has another version")
 	// ErrInvalid reports that an edit or a job breaks a validation rule.
--- a/link/link.go
+++ b/link/link.go
@@ -338,16 +338,6 @@
 	}
 }
 
-// Probe dials the daemon at an address and returns its hello.
-func (l *Link) Probe(ctx context.Context, address string) (notch.Hello, error) {
-	conn, hello, err := l.dial(ctx, address)
-	if err != nil {
-		return notch.Hello{}, err
-	}
-	conn.Close(websocket.StatusNormalClosure, "")
-	return hello, nil
-}
-
 // Close implements [notch.Link]. It waits up to drainTimeout until the queued
 // messages are sent.
 func (l *Link) Close() error {
--- a/load/callers.go
+++ b/load/callers.go
@@ -22,7 +22,6 @@
 	work    time.Duration // service time
 	short   bool
 	ok      bool // the status was 200
-	refused bool
 }
 
 // callers simulates the callers of one profile.
@@ -184,7 +183,7 @@
 func (c *callers) record(r request, latency time.Duration, ok bool, reason string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.samples = append(c.samples, sample{sentAt: r.sentAt, latency: latency, work: r.work, short: r.short, ok: ok, refused: !ok})
+	c.samples = append(c.samples, sample{sentAt: r.sentAt, latency: latency, work: r.work, short: r.short, ok: ok})
 	if !ok {
 		c.refusals[reason]++
 	}
