load: remove a flag that nothing sets

backend.leaving was only read, so an announcement never said leaving; retireBackend retires a backend server by an edit of the pools. go vet and the tests of load pass.

--- a/load/backend.go
+++ b/load/backend.go
@@ -38,7 +38,6 @@
 	connections   atomic.Int64
 	drainDeadline atomic.Int64 // Unix time in ns after which a new request is a violation; 0: never
 	lateRequests  atomic.Int64 // requests that arrived after drainDeadline
-	leaving       atomic.Bool
 	stop          context.CancelFunc
 	done          sync.WaitGroup
 }
@@ -96,11 +95,9 @@
 	tick := time.NewTicker(announceInterval)
 	defer tick.Stop()
 	for {
-		doc := b.BackendServer
-		doc.Leaving = b.leaving.Load()
 		first := i % len(entries)
 		order := append(append([]string{}, entries[first:]...), entries[:first]...)
-		client.New(order, client.WithTimeout(announceInterval)).Announce(ctx, doc)
+		client.New(order, client.WithTimeout(announceInterval)).Announce(ctx, b.BackendServer)
 		i++
 		select {
 		case <-ctx.Done():
