--- a/decisions_test.go
+++ b/decisions_test.go
@@ -33,6 +33,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if len(files) == 0 {
+			t.Errorf("%s: got no source files, want a package", dir)
+		}
 		for _, file := range files {
 			if strings.HasSuffix(file, "_test.go") {
 				continue
