Simulator: daemons whose links have a bandwidth

A message waits for those sent to the daemon before it and takes its encoded size on the link. Scripts set it with bandwidth, and get words for large tables: grow, storm, inforce, nonotice.

--- a/drive/drive.go
+++ b/drive/drive.go
@@ -22,6 +22,7 @@
 	Loss       float64                            // fraction of messages that are lost
 	Duplicates float64                            // fraction of messages that are sent twice
 	SyncTime   time.Duration                      // duration of a sync
+	Size       func(notch.Message) int            // encoded size in bytes; needed if a node has a bandwidth
 }
 
 // BuildFunc returns the initial states of a daemon. Storage is the identity of its
@@ -37,7 +38,11 @@
 	Drift   float64 // relative error of its clock: with 0.01 it runs 1% fast
 	Disk    *Disk   // nil if the daemon has no data folder
 	Hello   notch.Hello
+	// Bandwidth of the node's own link for messages to it, in bytes a second; 0: unlimited.
+	// Messages wait for those sent to the node before them, whoever sent them.
+	Bandwidth int
 
+	linkFreeAt        time.Duration // when the messages sent to the node have passed its link
 	build             BuildFunc
 	generation        int            // grows at every start and kill; the ticks and timers of an earlier one are dropped
 	linkedGenerations map[string]int // by peer: its generation when the link was established; 0: no link
@@ -121,7 +126,7 @@
 func (sim *Simulator) Start(n *Node) {
 	n.Up = true
 	n.generation++
-	n.mailbox = mailbox{}
+	n.mailbox, n.linkFreeAt = mailbox{}, 0
 	n.linkedGenerations = map[string]int{}
 	n.Self.Incarnation++
 	storage := uint64(0)
@@ -303,6 +308,9 @@
 		}
 		delay := sim.Net.Delay(n, to)
 		delay += time.Duration(sim.Net.Jitter * sim.Rand.Float64() * float64(delay))
+		if to.Bandwidth > 0 {
+			delay = sim.passLink(to, delay, sim.Net.Size(f.Message))
+		}
 		sim.After(delay, func() {
 			if !sim.cutLinks[[2]string{n.Self.Name, f.To}] {
 				sim.Post(to, notch.MessageReceived{From: n.Self.Name, Message: f.Message})
@@ -311,6 +319,14 @@
 	}
 }
 
+// passLink returns the delay of a message, with the time that it waits for a node's own link
+// and passes it.
+func (sim *Simulator) passLink(to *Node, delay time.Duration, size int) time.Duration {
+	start := max(sim.now+delay, to.linkFreeAt)
+	to.linkFreeAt = start + time.Duration(size)*time.Second/time.Duration(to.Bandwidth)
+	return to.linkFreeAt - sim.now
+}
+
 // After calls f when d of virtual time has passed.
 func (sim *Simulator) After(d time.Duration, f func()) {
 	sim.seq++
--- a/fake/fake.go
+++ b/fake/fake.go
@@ -20,6 +20,7 @@
 	"tamaracknotch/share"
 	"tamaracknotch/table"
 	"tamaracknotch/traffic"
+	"tamaracknotch/wire"
 )
 
 // Policies holds the policies and limits of the daemons of a testbed.
@@ -78,10 +79,20 @@
 		runningOn: map[notch.TaskID]string{}, publications: map[notch.TaskID]int{}, killedWorkers: map[string]bool{},
 	}
 	s.OnEffect = s.handleEffect
+	s.Net.Size = encodedSize
 	s.OnPublish = func(notch.TaskID) {}
 	return s
 }
 
+// encodedSize returns the size of a message on a link in bytes.
+func encodedSize(m notch.Message) int {
+	b, err := wire.EncodeMessage(m)
+	if err != nil {
+		panic(err)
+	}
+	return len(b)
+}
+
 func (s *Testbed) reportViolation(format string, args ...any) {
 	s.Violations = append(s.Violations, fmt.Sprintf("%v: ", s.Now())+fmt.Sprintf(format, args...))
 }
--- a/script/control.go
+++ b/script/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -207,6 +208,57 @@
 	}
 }
 
+// bandwidth limits the links of daemons.
+func (r *scriptState) bandwidth(args []string) {
+	for _, name := range args[1:] {
+		r.node(name).Bandwidth = r.number(args[0]) * 1000 / 8
+	}
+}
+
+// growRoutes sends an edit that replaces the routes by many.
+func (r *scriptState) growRoutes(args []string) {
+	n := r.node(args[0])
+	var routes []notch.Route
+	for i := range r.number(args[2]) {
+		routes = append(routes, notch.Route{
+			Name: fmt.Sprintf("route-%d", i), Host: "shop.example", Path: fmt.Sprintf("/route-%d/", i), Pool: args[1], Timeout: time.Second,
+		})
+	}
+	r.editRoutes(n, routes)
+}
+
+// storm sends edits that change one route each.
+func (r *scriptState) storm(args []string) {
+	n := r.node(args[0])
+	for i := range r.number(args[1]) {
+		routes := slices.Clone(r.Tables(n).Routes)
+		routes[i%len(routes)].MaxQueue++
+		r.editRoutes(n, routes)
+		r.Run(r.duration(args[2]))
+	}
+}
+
+// editRoutes sends an edit of the routes in force at a daemon.
+func (r *scriptState) editRoutes(n *drive.Node, routes []notch.Route) {
+	base := r.Tables(n).RoutesVersion
+	cmd := notch.EditTable{ID: fmt.Sprintf("routes-%d", base), Table: notch.RoutesTable, Base: base, Routes: routes}
+	r.Submit(n, cmd, commandTimeout, func(notch.Answer) {})
+}
+
+// sameTables checks that all running daemons use the same tables.
+func (r *scriptState) sameTables(_ []string) {
+	var want notch.Tables
+	for i, n := range r.Nodes() {
+		got := r.Tables(n).WithoutDocument()
+		if i == 0 {
+			want = got
+		}
+		if !reflect.DeepEqual(got, want) {
+			r.fatalf("%s uses revision %d with %d routes, want the %d routes of revision %d", n.Self.Name, got.Revision, len(got.Routes), len(want.Routes), want.Revision)
+		}
+	}
+}
+
 func (r *scriptState) claim(args []string) {
 	r.lastToken++
 	delete(r.claims, args[2])
--- a/script/script.go
+++ b/script/script.go
@@ -35,6 +35,8 @@
 	jobReplies map[string]string        // reason of the rejection by job; empty: accepted
 	claims     map[string]bool          // by the script's name for the claim: whether it was granted
 	lastToken  uint64                   // token of the latest claim
+
+	checkedMessages int // log messages that notLogged has seen
 }
 
 // defaultSeed is the seed of a script without the command seed.
@@ -97,6 +99,7 @@
 		"cutone":    {"A B: blocks messages from A to B", 2, (*scriptState).cutOne},
 		"isolate":   {"NAME [but OTHER...]: cuts a daemon from all others", 1, (*scriptState).isolate},
 		"heal":      {"ends all cuts", 0, func(r *scriptState, _ []string) { r.Heal() }},
+		"bandwidth": {"KBIT NAME...: limits what reaches each of the daemons, in kbit/s", 2, (*scriptState).bandwidth},
 		"loss":      {"SHARE: sets the fraction of messages that are lost", 1, func(r *scriptState, a []string) { r.Net.Loss = r.float(a[0]) }},
 		"slow":      {"DOMAIN DURATION: adds to the delay of links between a failure domain and the others", 2, (*scriptState).slow},
 		"run":       {"DURATION: lets time pass", 1, func(r *scriptState, a []string) { r.Run(r.duration(a[0])) }},
@@ -134,6 +137,10 @@
 		"notice":    {"TEXT: checks that a daemon has logged a message that contains TEXT", 1, (*scriptState).logged},
 		"snapshots": {"EVERY KEEP: sets the log entries between snapshots and those kept before one; restarts all daemons", 2, (*scriptState).snapshots},
 		"edits":     {"NODE POOL N: sends N edits of the routes, one after another", 3, (*scriptState).manyEdits},
+		"grow":      {"NODE POOL ROUTES: sends an edit that makes the table of that many routes", 3, (*scriptState).growRoutes},
+		"storm":     {"NODE N DURATION: sends N edits that change one route each, DURATION apart", 3, (*scriptState).storm},
+		"nonotice":  {"TEXT: checks that no daemon has logged a message that contains TEXT since the last nonotice", 1, (*scriptState).notLogged},
+		"inforce":   {"checks that all daemons use the same tables", 0, (*scriptState).sameTables},
 		"busy":      {"BACKEND DURATION: checks that a backend server has got a request within that time", 2, (*scriptState).busy},
 		"claim":     {"NODE ID NAME: claims a request id and stores the answer under NAME", 3, (*scriptState).claim},
 		"claimed":   {"NAME yes|no: checks whether the claim was granted", 2, (*scriptState).claimed},
@@ -227,6 +234,17 @@
 	}
 }
 
+// notLogged checks the messages since the last time that it was called.
+func (r *scriptState) notLogged(args []string) {
+	text := strings.Join(args, " ")
+	for _, m := range r.LogMessages[r.checkedMessages:] {
+		if strings.Contains(m, text) {
+			r.fatalf("a daemon has logged %q", m)
+		}
+	}
+	r.checkedMessages = len(r.LogMessages)
+}
+
 // isYes reports whether an argument turns something on.
 func isYes(s string) bool { return slices.Contains([]string{"yes", "on"}, s) }
 
