Send entries the changes of the tables, once

Cause: a grant contained the whole tables while the entry's report named an older revision, and an entry reports each 250 ms. 1,080 routes are 167 KB, which take 0.67 s on an entry's link of 2 Mbit/s, so several copies of each version queued on the link, and the grants of the lease of 1.5 s behind them. The leader encoded each copy, 1.2 ms each for 45 entries.

Now a grant has the changes since the tables that the entry has or that are on their way to it. Changes are sent again when a grant that was sent with or after them has arrived and the entry's tables are still older, or after the loss of the link. A grant names the revision that it needs, and an entry that lacks it ignores the grant, so no lease goes with tables that were lost. The changes are shared by all entries, and the codec encodes and compresses each once: the whole 1,080 routes are 9 KB. Entries of an earlier build don't report that they accept changes and get whole tables; an earlier leader's grants are understood.

--- a/event.go
+++ b/event.go
@@ -190,6 +190,9 @@
 // TablesReceived reports that the leader sent a revision of the tables.
 type TablesReceived struct{ Tables Tables }
 
+// TablesChanged reports that the leader sent changes of the tables.
+type TablesChanged struct{ Changes []*TablesChange }
+
 // ReplicasChanged reports that the replica set has changed.
 type ReplicasChanged struct{ Set ReplicaSet }
 
@@ -294,6 +297,7 @@
 func (TablesCommitted) body()    {}
 func (TablesInForce) body()      {}
 func (TablesReceived) body()     {}
+func (TablesChanged) body()      {}
 func (ReplicasChanged) body()    {}
 func (ReplicaLinked) body()      {}
 func (ServersChanged) body()     {}
--- a/message.go
+++ b/message.go
@@ -145,6 +145,12 @@
 	// of grant Seq.
 	Holds []SlotAllocation
 	Full  bool
+	// AcceptsChanges is set if the entry understands EntryGrant.Changes. An earlier build
+	// gets whole tables.
+	AcceptsChanges bool
+	// LatestGrantFor is the SentAt of the latest grant that the entry has got, applied or
+	// not. Grants arrive in the order in which they are sent, unless they are lost.
+	LatestGrantFor Time
 }
 
 // EntryGrant renews an entry's lease and sets the entry's slots.
@@ -158,9 +164,12 @@
 	Lease       time.Duration
 	Entries     int      // number of live entries, by which the idle connections are divided
 	Voters      []string // names of the control replicas
-	Revision    uint64   // current revision of the tables
-	Tables      *Tables  // set if the entry's revision is older
+	Revision    uint64   // current revision of the tables; an entry without them doesn't apply the grant
+	Tables      *Tables  // for an entry that doesn't accept changes, if its revision is older
 	Slots       []SlotAllocation
+	// Changes lead to the current tables from those that the entry has, or from those
+	// that are on their way to it. The first one may contain the whole tables.
+	Changes []*TablesChange
 }
 
 // WorkerRequest forwards a worker's heartbeat to the leader, from the daemon that
--- a/share/entry.go
+++ b/share/entry.go
@@ -21,6 +21,7 @@
 	noLeaderAt    map[string]notch.Time // by replica: when the latest query was sent that it answered without a leader or later tables
 
 	leaseEnd         notch.Time
+	latestGrantFor   notch.Time             // when the report was sent that the latest grant answers, applied or not
 	leaseRequestedAt notch.Time             // when the report was sent that the last grant answers
 	grantedSlots     map[notch.ServerID]int // by grant grantSeq; the map is never modified
 	fullRequested    bool                   // the leader asked for a full report
@@ -224,6 +225,7 @@
 	return p, []notch.Effect{notch.Send{To: p.leader, Message: notch.EntryReport{
 		Incarnation: p.self.Incarnation, Domain: p.self.Domain, Revision: p.revision,
 		Term: p.term, Seq: p.grantSeq, SentAt: now, Demand: demand, Holds: p.slotAllocations(full), Full: full,
+		AcceptsChanges: true, LatestGrantFor: p.latestGrantFor,
 	}}}
 }
 
@@ -239,12 +241,25 @@
 	return m.Term == p.term && m.Base == p.grantSeq
 }
 
+// revisionAfter returns the revision of the tables after those of grant m. It is less than the
+// current one if tables that were sent before m were lost.
+func (p Entry) revisionAfter(m notch.EntryGrant) uint64 {
+	revision := p.revision
+	if m.Tables != nil {
+		revision = max(revision, m.Tables.Revision)
+	}
+	return notch.RevisionAfter(revision, m.Changes)
+}
+
 func (p Entry) onGrant(now notch.Time, from string, m notch.EntryGrant) (notch.Part, []notch.Effect) {
 	if m.AskFull && m.Incarnation == p.self.Incarnation && m.Term >= p.term {
 		p.fullRequested = true
 		return p.sendReport(now)
 	}
-	if !p.accepts(m) {
+	if m.Incarnation == p.self.Incarnation {
+		p.latestGrantFor = max(p.latestGrantFor, m.SentAt)
+	}
+	if !p.accepts(m) || p.revisionAfter(m) < m.Revision {
 		return p, nil
 	}
 	var out []notch.Effect
@@ -262,6 +277,9 @@
 	if m.Tables != nil {
 		out = append(out, notch.Emit{Body: notch.TablesReceived{Tables: *m.Tables}})
 	}
+	if len(m.Changes) > 0 {
+		out = append(out, notch.Emit{Body: notch.TablesChanged{Changes: m.Changes}})
+	}
 	if !p.leased && now.Before(p.leaseEnd) {
 		p.leased = true
 		out = append(out, p.logMessage("holds a lease"))
--- a/share/entry_record.go
+++ b/share/entry_record.go
@@ -21,6 +21,9 @@
 	pending      []sentGrant            // not yet acknowledged, oldest first
 	demand       map[string]int         // smoothed, in slots by pool
 	inputVersion uint64                 // Leader.inputVersion at the last grant; zero: check again
+
+	sentRevision uint64     // of the tables after the changes that are on their way; zero: none are
+	sentFor      notch.Time // SentAt of the report that was answered with the last of them
 }
 
 // sentGrant is a grant that was sent to an entry.
@@ -73,6 +76,28 @@
 	return e, changed, true
 }
 
+// withRevision returns e after a report of the tables in force. If the grant with the last
+// changes has arrived and the tables are still older, changes were lost.
+func (e entryRecord) withRevision(m notch.EntryReport) entryRecord {
+	e.revision = m.Revision
+	if e.revision >= e.sentRevision || m.LatestGrantFor >= e.sentFor {
+		return e.withChangesLost()
+	}
+	return e
+}
+
+// withChangesLost returns e without changes on their way.
+func (e entryRecord) withChangesLost() entryRecord {
+	e.sentRevision, e.sentFor = 0, 0
+	return e
+}
+
+// withChangesSent returns e after changes were sent in answer to report m.
+func (e entryRecord) withChangesSent(revision uint64, m notch.EntryReport) entryRecord {
+	e.sentRevision, e.sentFor = revision, m.SentAt
+	return e
+}
+
 func (e entryRecord) slotsOfGrant(seq uint64) (map[notch.ServerID]int, bool) {
 	if e.applied.seq == seq && e.applied.slots != nil {
 		return e.applied.slots, true
--- a/share/leader.go
+++ b/share/leader.go
@@ -17,6 +17,7 @@
 
 	leadership     notch.Leadership
 	tables         notch.Tables
+	history        tablesHistory // ends with tables
 	voters         []string
 	servers        []notch.BackendServer
 	entries        map[string]entryRecord            // by name#incarnation; the map is never modified
@@ -54,7 +55,7 @@
 		}
 		p.leadership = b
 	case notch.TablesCommitted:
-		p.tables = b.Tables
+		p.tables, p.history = b.Tables, p.history.with(b.Tables)
 		p = p.withDivisionDue()
 	case notch.ServersChanged:
 		p.servers = b.Servers
@@ -68,6 +69,8 @@
 		if b.Question.Kind == notch.QueryEntries && p.leadership.Leading {
 			return p, []notch.Effect{notch.Emit{Body: notch.QueryAnswered{Origin: b.Origin, Ticket: b.Ticket, View: p.queryResult(e.At)}}}
 		}
+	case notch.PeerDown:
+		return p.onPeerDown(b.Name), nil
 	case notch.MessageReceived:
 		switch m := b.Message.(type) {
 		case notch.EntryReport:
@@ -121,8 +124,8 @@
 	}
 	key := fmt.Sprintf("%s#%d", from, m.Incarnation)
 	e, known := p.entries[key]
-	e.name, e.domain, e.revision = from, m.Domain, m.Revision
-	e, changed, ok := e.withReport(m)
+	e.name, e.domain = from, m.Domain
+	e, changed, ok := e.withRevision(m).withReport(m)
 	if !ok {
 		reply := notch.EntryGrant{Incarnation: m.Incarnation, Term: p.leadership.Term, AskFull: true, SentAt: m.SentAt}
 		return p, []notch.Effect{notch.Send{To: from, Message: reply}}
@@ -136,13 +139,37 @@
 	p = p.withoutDrained(now).divide(now)
 	p, grant := p.grant(now, key, lease)
 	grant.SentAt, grant.Incarnation = m.SentAt, m.Incarnation
-	if m.Revision < p.tables.Revision {
-		tables := p.tables.WithoutDocument()
-		grant.Tables = &tables
-	}
+	p, grant = p.withTables(key, grant, m)
 	return p, []notch.Effect{notch.Send{To: from, Message: grant}}
 }
 
+// withTables adds to the answer to report m the tables that the entry lacks. What is already
+// on its way isn't sent again: on a slow link it would hold back the leases behind it.
+func (p Leader) withTables(key string, g notch.EntryGrant, m notch.EntryReport) (Leader, notch.EntryGrant) {
+	if !m.AcceptsChanges {
+		if m.Revision < p.tables.Revision {
+			g.Tables = &p.history.tables
+		}
+		return p, g
+	}
+	e := p.entries[key]
+	g.Changes = p.history.since(max(m.Revision, e.sentRevision))
+	if len(g.Changes) == 0 {
+		return p, g
+	}
+	return p.withEntry(key, e.withChangesSent(p.tables.Revision, m)), g
+}
+
+// onPeerDown marks the changes on their way to a daemon as lost, as its link was lost.
+func (p Leader) onPeerDown(name string) Leader {
+	for _, key := range slices.Sorted(maps.Keys(p.entries)) {
+		if e := p.entries[key]; e.name == name && e.sentRevision != 0 {
+			p = p.withEntry(key, e.withChangesLost())
+		}
+	}
+	return p
+}
+
 // leaseDuration returns the duration of a lease granted now. It ends Timing.Lease
 // after the last instant at which a quorum confirmed the leadership, as another
 // replica may lead after that.
--- a/table/table.go
+++ b/table/table.go
@@ -42,6 +42,12 @@
 		return p.restore(b.Snapshot)
 	case notch.TablesReceived:
 		return p.putInForce(b.Tables)
+	case notch.TablesChanged:
+		next, ok := p.inForce.WithChanges(b.Changes)
+		if !ok {
+			return nil, nil
+		}
+		return p.putInForce(next)
 	}
 	return nil, nil
 }
--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -4,6 +4,8 @@
 	"reflect"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	notch "tamaracknotch"
 )
 
@@ -17,6 +19,10 @@
 	notch.Outcome{Ticket: 1, Result: notch.EditResult{Outcome: notch.EditConflict, Version: 4}},
 	notch.InstallSnapshot{Term: 1, Snapshot: notch.Snapshot{Index: 9, Images: []notch.PartSnapshot{notch.TablesSnapshot{RoutesBy: "x"}, notch.BatchSnapshot{Seq: 2}}}},
 	notch.Hello{Daemon: notch.Daemon{Name: "a"}, Storage: 1}, notch.EntryGrant{Tables: &notch.Tables{Revision: 2}},
+	notch.EntryGrant{Seq: 4, Revision: 7, Changes: []*notch.TablesChange{
+		{Revision: 6, Pools: []notch.Splice[notch.Pool]{{Insert: []notch.Pool{{Name: "p", Hosts: []string{"h"}}}}}},
+		{From: 6, Revision: 7, Routes: []notch.Splice[notch.Route]{{At: 2, Remove: 1, Insert: []notch.Route{{Name: "r", Stretch: 1.5}}}}},
+	}},
 	notch.WorkerRequest{Beat: notch.Heartbeat{Running: []notch.TaskEpoch{{Task: "j/0", Epoch: 1}}}},
 }
 
@@ -78,3 +84,44 @@
 	f.Add(b)
 	f.Fuzz(func(t *testing.T, b []byte) { DecodeSnapshot(b) })
 }
+
+// TestGrantOfEarlierBuild checks that a grant of a build without changes of the tables is
+// understood, and that such a build finds what it knows in a grant of this one.
+func TestGrantOfEarlierBuild(t *testing.T) {
+	const tag = 65136 // of a grant, in every build
+	type earlierGrant struct {
+		Seq    uint64
+		Tables *notch.Tables
+	}
+	b, err := cbor.Marshal(cbor.Tag{Number: tag, Content: earlierGrant{Seq: 4, Tables: &notch.Tables{Revision: 2}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeMessage(b)
+	if want := (notch.EntryGrant{Seq: 4, Tables: &notch.Tables{Revision: 2}}); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+	if b, err = EncodeMessage(notch.EntryGrant{Seq: 5, Changes: []*notch.TablesChange{{Revision: 3}}}); err != nil {
+		t.Fatal(err)
+	}
+	var raw cbor.RawTag
+	var earlier earlierGrant
+	if err := cbor.Unmarshal(b, &raw); err != nil || raw.Number != tag {
+		t.Fatalf("got tag %d, %v, want %d", raw.Number, err, tag)
+	}
+	if err := cbor.Unmarshal(raw.Content, &earlier); err != nil || earlier.Seq != 5 {
+		t.Errorf("got %+v, %v, want Seq 5", earlier, err)
+	}
+}
+
+// TestChangeIsEncodedOnce checks that a change that many entries get isn't encoded again.
+func TestChangeIsEncodedOnce(t *testing.T) {
+	c := &notch.TablesChange{Revision: 2, Routes: []notch.Splice[notch.Route]{{Insert: make([]notch.Route, 1000)}}}
+	first, err := changes.encode(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := changes.encode(c); err != nil || &again[0] != &first[0] {
+		t.Errorf("got another encoding, %v, want the first one", err)
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -28,7 +28,7 @@
 	notch.VoteRequest{}, notch.VoteReply{}, notch.AppendRequest{}, notch.AppendReply{},
 	notch.InstallSnapshot{}, notch.TimeoutNow{}, notch.Forward{}, notch.Outcome{},
 	notch.LeaderHint{}, notch.LeaderQuery{}, notch.Hello{}, notch.LeaveMessage{}, notch.Announcements{},
-	notch.EntryReport{}, notch.EntryGrant{}, notch.WorkerRequest{}, notch.WorkerReply{},
+	notch.EntryReport{}, grant{}, notch.WorkerRequest{}, notch.WorkerReply{},
 	notch.QueryRequest{}, notch.QueryReply{}, notch.AnnouncementRequest{},
 	notch.ReplaceTables{}, notch.SubmitWorkflow{}, notch.CancelWorkflow{}, notch.AdmitAgent{}, notch.PlaceRuns{}, notch.EndRuns{},
 	notch.WorkflowResult{}, notch.WorkflowsSnapshot{},
@@ -65,6 +65,13 @@
 
 // EncodeMessage returns the encoding of m.
 func EncodeMessage(m notch.Message) ([]byte, error) {
+	if g, ok := m.(notch.EntryGrant); ok {
+		encoded, err := encodedGrant(g)
+		if err != nil {
+			return nil, err
+		}
+		m = encoded
+	}
 	b, err := encMode.Marshal(m)
 	return b, errors.Wrapf(err, "encode %T", m)
 }
@@ -84,10 +91,12 @@
 
 // messageByValue replaces pointers by the values that they point to, where the
 // decoder has stored pointers in the interface fields of a message. The reducers
-// expect values.
+// expect values. A grant becomes the message that it encodes.
 func messageByValue(m notch.Message) (notch.Message, error) {
 	var err error
 	switch m := m.(type) {
+	case grant:
+		return decodedGrant(m)
 	case notch.AppendRequest:
 		err = entriesByValue(m.Entries)
 		return m, err
