consensus: at most four unconfirmed messages with entries for a replica

What callers saw: jobs refused, and answers too late, after "lost contact with a quorum" on a leader that was alive and whose replicas were.

Cause: each reply to an append request sent the entries appended since the last send, and a reply is reduced between any two other events. While one large message was being written to a replica, hundreds of these filled its queue, and the next heartbeat stood behind them.

When contact was lost at 26.59, 330 messages were queued for core-pnw-kiln-2 and had waited 1.07 s; the queues of the other replicas held 100 to 200 messages for 0.2 to 0.4 s. Encoding took 8 us and writing 14 us each.

Fix: a replica has four messages with entries to confirm at most; what is appended meanwhile goes into one message with the next confirmation, or with the next heartbeat, which isn't limited. So the number of messages follows the time of a round trip and not the number of proposals, and an idle replica still gets an entry at once.

The script unconfirmed.txtar fails on the code before: the fifth flush sends a fifth message. In catch-up.txtar, b now confirms what it got before it is to get a further entry; what the script checks of c, and that b gets the entry, is unchanged.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -17,6 +17,43 @@
 	probing        bool       // an append was rejected, and the replica hasn't confirmed the probe after it
 	probedAt       notch.Time // when the probe was sent; rejections of earlier messages are ignored
 	snapshotSentAt notch.Time // when the unacknowledged snapshot was sent; zero: none
+	unconfirmed    []uint64   // last index of each message with entries that isn't confirmed; never modified in place
+}
+
+// maxUnconfirmedAppends is the number of messages with entries that a replica may have to confirm
+// before further entries wait for one another and go into one message. A heartbeat may exceed it.
+const maxUnconfirmedAppends = 4
+
+// mayAppend reports whether entries may be sent to the replica as soon as there are some.
+func (pr progress) mayAppend() bool {
+	return !pr.probing && len(pr.unconfirmed) < maxUnconfirmedAppends
+}
+
+// withSent returns pr after n entries from next on were sent in one message.
+func (pr progress) withSent(n int) progress {
+	if n == 0 {
+		return pr
+	}
+	pr.next += uint64(n)
+	kept := pr.unconfirmed[:min(len(pr.unconfirmed), maxUnconfirmedAppends-1)]
+	pr.unconfirmed = append(slices.Clip(kept), pr.next-1)
+	return pr
+}
+
+// withMatch returns pr after the replica has confirmed the entries up to index.
+func (pr progress) withMatch(index uint64) progress {
+	pr.match = max(pr.match, index)
+	pr.next = max(pr.next, pr.match+1)
+	for len(pr.unconfirmed) > 0 && pr.unconfirmed[0] <= pr.match {
+		pr.unconfirmed = pr.unconfirmed[1:]
+	}
+	return pr
+}
+
+// withNext returns pr with the next entry to send set back to index.
+func (pr progress) withNext(index uint64) progress {
+	pr.next, pr.unconfirmed = index, nil
+	return pr
 }
 
 // progressFor returns the progress of the replicas in set. It keeps the progress of those
@@ -74,14 +111,15 @@
 }
 
 // flush syncs and sends the entries appended since the last flush, so that many commands
-// share one sync and one message.
+// share one sync and one message. Entries for a replica that has several messages to confirm
+// go into one message when it has confirmed one of them, or with the next heartbeat.
 func (s *stepper) flush() {
 	if !s.unflushed || s.role != roleLeader {
 		return
 	}
 	s.persistUnflushed()
 	for i := range s.progress {
-		if pr := s.progress[i]; !pr.probing && pr.next+uint64(s.limits.FlushLag) > s.log.lastIndex() {
+		if pr := s.progress[i]; pr.mayAppend() && pr.next+uint64(s.limits.FlushLag) > s.log.lastIndex() {
 			s.sendAppend(i)
 		}
 	}
@@ -122,7 +160,7 @@
 		PrevIndex: pr.next - 1, PrevTerm: s.log.term(pr.next - 1),
 		Commit: s.commitIndex, SentAt: s.now, Entries: entries,
 	})
-	pr.next += uint64(len(entries))
+	pr = pr.withSent(len(entries))
 	pr.lastSentAt = s.now
 	s.setProgress(i, pr)
 }
@@ -154,7 +192,7 @@
 // confirms them.
 func (s *stepper) probe(i int) {
 	pr := s.progress[i]
-	pr.next = pr.match + 1
+	pr = pr.withNext(pr.match + 1)
 	pr.probing, pr.probedAt = true, s.now
 	s.setProgress(i, pr)
 	s.sendAppend(i)
@@ -196,8 +234,7 @@
 	for i, pr := range s.progress {
 		if pr.match < s.log.lastIndex() && pr.next > s.log.lastIndex() && s.now.Sub(pr.lastSentAt) >= s.timing.ResendTimeout {
 			// The replica hasn't acknowledged all entries; some may have been lost.
-			pr.next = pr.match + 1
-			s.setProgress(i, pr)
+			s.setProgress(i, pr.withNext(pr.match+1))
 		}
 	}
 	if s.now.Before(s.heartbeatDue) {
@@ -230,8 +267,7 @@
 		s.onAppendRejected(i, pr, m)
 		return
 	}
-	pr.match = max(pr.match, m.Match)
-	pr.next = max(pr.next, pr.match+1)
+	pr = pr.withMatch(m.Match)
 	if pr.match >= s.snapshotIndex() {
 		pr.snapshotSentAt = 0
 	}
@@ -241,7 +277,7 @@
 	s.setProgress(i, pr)
 	s.updateQuorumContact()
 	s.advanceCommit()
-	if !s.progress[i].probing && pr.next <= s.log.lastIndex() {
+	if pr = s.progress[i]; pr.mayAppend() && pr.next <= s.log.lastIndex() {
 		s.sendAppend(i)
 	}
 }
@@ -255,7 +291,7 @@
 	if m.SentAt < pr.probedAt || (pr.snapshotSentAt != 0 && m.Match < s.log.base) {
 		return
 	}
-	pr.next = max(min(m.Match, s.log.lastIndex())+1, pr.match+1)
+	pr = pr.withNext(max(min(m.Match, s.log.lastIndex())+1, pr.match+1))
 	pr.probing, pr.probedAt = true, s.now
 	s.setProgress(i, pr)
 	s.sendAppend(i)
