gateway: a read at a replica gets the tables from that replica's log

What callers saw: leaders that lost contact with their quorum while nobody stopped them, from the first large configuration on.

Cause: a read of the configuration has a barrier committed, and the leader sent the result, the whole tables with the operator's text, to the daemon where the operator reads. On the link the result stood before the leader's heartbeats to the same replica, and once more for each time that the call was sent again.

Fix: the replica that waits applies the entry of the barrier itself, and its gateway answers from that; the leader sends it no result. A daemon without a log gets the tables as before. The read is as fresh as before: it shows the tables at the barrier.

--- a/command.go
+++ b/command.go
@@ -1,6 +1,9 @@
 package notch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Command changes the replicated state. Every command is idempotent: applying it
 // a second time has no effect and returns the result of the first time.
@@ -41,6 +44,12 @@
 	Learners []Replica
 }
 
+// HasNamed reports whether a voter or learner has the given name.
+func (s ReplicaSet) HasNamed(name string) bool {
+	named := func(r Replica) bool { return r.Name == name }
+	return slices.ContainsFunc(s.Voters, named) || slices.ContainsFunc(s.Learners, named)
+}
+
 // ClaimRequest claims a non-idempotent request for one entry before the request
 // is sent to a backend server.
 type ClaimRequest struct {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,7 @@
 	leader     string
 	lastLeader notch.LeaderChanged // the latest one that names a leader
 	leading    bool
+	replicas   notch.ReplicaSet
 	calls      *immutable.SortedMap[uint64, call]
 }
 
@@ -72,6 +73,9 @@
 		}
 		p.leading = b.Leading
 		return p, nil
+	case notch.ReplicasChanged:
+		p.replicas = b.Set
+		return p, nil
 	case notch.Tick:
 		if p.calls.Len() == 0 {
 			return nil, nil
@@ -206,12 +210,19 @@
 	if b.Origin == p.self {
 		return p.answer(b.Ticket, b.Result)
 	}
-	if b.Origin == "" || !p.leading {
+	if b.Origin == "" || !p.leading || p.learnsFromLog(b) {
 		return nil, nil
 	}
 	return nil, []notch.Effect{notch.Send{To: b.Origin, Message: notch.Outcome{Ticket: b.Ticket, Result: b.Result}}}
 }
 
+// learnsFromLog reports whether the daemon that waits for a result gets it when it applies the log
+// entry itself. The tables are large, and a replica has them.
+func (p Part) learnsFromLog(b notch.Applied) bool {
+	_, large := b.Result.(notch.TablesResult)
+	return large && p.replicas.HasNamed(b.Origin)
+}
+
 func (p Part) answer(ticket uint64, r notch.Result) (notch.Part, []notch.Effect) {
 	if _, ok := p.calls.Get(ticket); !ok {
 		return nil, nil
