consensus: append a call's command once while it isn't applied

What callers saw: configurations acknowledged late, and leaders that lost contact while versions of a large configuration came in.

Cause: the daemon that has accepted a call sends it to the leader again after 0.4 s, 0.8 s and so on. The leader appended the command each time, so that an edit that waited for a quorum was encoded, sent to four replicas and written to five journals again, and so made the next confirmation later.

Fix: a proposal is ignored while the log holds an entry of the same call that isn't applied yet. Its result answers all sends of the call. After that, the command is appended again as before, as the result may have been lost.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -85,12 +85,27 @@
 	s.progress[i] = pr
 }
 
+// propose appends a command, unless the log holds it already: the daemon that waits for the result
+// sends it again while it isn't applied yet.
 func (s *stepper) propose(b notch.Proposal) {
-	if s.role == roleLeader && !s.stopping && s.hasEnoughVoters() {
+	if s.role == roleLeader && !s.stopping && s.hasEnoughVoters() && !s.isPending(b) {
 		s.appendCommand(b)
 	}
 }
 
+// isPending reports whether the command of the same call is in the log and not yet applied.
+func (s *stepper) isPending(b notch.Proposal) bool {
+	if b.Origin == "" {
+		return false
+	}
+	for i := s.appliedIndex + 1; i <= s.log.lastIndex(); i++ {
+		if e := s.log.entryAt(i); e.Ticket == b.Ticket && e.Origin == b.Origin {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *stepper) appendCommand(b notch.Proposal) {
 	s.appendEntry(notch.LogEntry{
 		Index: s.log.lastIndex() + 1, Term: s.hardState.Term, At: s.now,
