link: messages of consensus and leases overtake calls and results in the queue

What callers saw: leaders that lost contact with a quorum while their own process and those of the replicas ran.

Cause: the control loop reduces the messages of consensus before all others, but on the way there each peer had one queue in order of arrival. A heartbeat, or the answer to it, waited until all calls and results before it were encoded and written.

Fix: an outbox for each peer with the two priorities of the control loop. A message of high priority waits for the message that is being written and no other of normal priority. Nothing relies on the order across priorities: a link may reorder messages. The outbox grows with its use; the channel before took 131 KB for each peer from the start.

--- a/link/link.go
+++ b/link/link.go
@@ -34,7 +34,7 @@
 	minBackoff       = 100 * time.Millisecond
 	maxBackoff       = time.Second
 	tcpUserTimeout   = 1500 * time.Millisecond // sent data unacknowledged for longer closes the connection
-	queueLength      = 8192                    // messages queued for one peer; further ones are dropped
+	queueLength      = 8192                    // messages in one outbox; further ones are dropped
 	maxMessageSize   = 256 << 20               // bytes
 	maxHandshakeSize = 1 << 20                 // bytes
 )
@@ -61,7 +61,7 @@
 // peer is a daemon that this daemon dials.
 type peer struct {
 	address string
-	queue   chan notch.Message
+	outbox  *outbox
 	stop    context.CancelFunc
 	redial  chan struct{} // ends the wait before the next dial
 
@@ -111,12 +111,9 @@
 	if p == nil {
 		return
 	}
-	select {
-	case p.queue <- m:
-	default:
-		// The queue is full because the peer is slow or unreachable. The message is
-		// dropped; the parts send important messages again.
-	}
+	// If the outbox is full, the peer is slow or unreachable. The message is dropped then; the
+	// parts send important messages again.
+	p.outbox.put(m)
 }
 
 // Connect implements [notch.Link]. A daemon whose name isn't known yet has only an
@@ -140,7 +137,7 @@
 		return
 	}
 	ctx, stop := context.WithCancel(l.ctx)
-	p := &peer{address: d.Address, queue: make(chan notch.Message, queueLength), stop: stop, redial: make(chan struct{}, 1)}
+	p := &peer{address: d.Address, outbox: newOutbox(), stop: stop, redial: make(chan struct{}, 1)}
 	l.peersByAddress[d.Address] = p
 	if d.Name != "" {
 		l.peersByName[d.Name] = p
@@ -272,8 +269,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-p.queue:
-			err = l.writeMessage(ctx, conn, m)
+		case <-p.outbox.ready:
+			err = l.writeNext(ctx, conn, p)
 		case <-ping.C:
 			pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 			err = conn.Ping(pingCtx)
@@ -285,7 +282,12 @@
 	}
 }
 
-func (l *Link) writeMessage(ctx context.Context, conn *websocket.Conn, m notch.Message) error {
+// writeNext encodes and writes the next message of p's outbox.
+func (l *Link) writeNext(ctx context.Context, conn *websocket.Conn, p *peer) error {
+	m, ok := p.outbox.take()
+	if !ok {
+		return nil
+	}
 	b, err := wire.EncodeMessage(m)
 	if err != nil {
 		return err
@@ -343,12 +345,12 @@
 func (l *Link) Close() error {
 	l.mu.Lock()
 	l.closed = true
-	var queues []chan notch.Message
+	var outboxes []*outbox
 	for _, p := range l.peersByAddress {
-		queues = append(queues, p.queue)
+		outboxes = append(outboxes, p.outbox)
 	}
 	l.mu.Unlock()
-	drain(queues)
+	drain(outboxes)
 	l.cancel()
 	l.wg.Wait()
 	return nil
@@ -357,13 +359,13 @@
 // drainTimeout is the longest wait of Close for queued messages.
 const drainTimeout = 200 * time.Millisecond
 
-// drain waits until all queues are empty, at most for drainTimeout.
-func drain(queues []chan notch.Message) {
+// drain waits until all outboxes are empty, at most for drainTimeout.
+func drain(outboxes []*outbox) {
 	deadline := time.Now().Add(drainTimeout)
 	for time.Now().Before(deadline) {
 		left := 0
-		for _, q := range queues {
-			left += len(q)
+		for _, o := range outboxes {
+			left += o.len()
 		}
 		if left == 0 {
 			return
--- /dev/null
+++ b/link/outbox.go
@@ -0,0 +1,68 @@
+package link
+
+import (
+	"sync"
+
+	notch "tamaracknotch"
+)
+
+// outbox is the queue of messages for one peer. Messages of high priority go first, so that
+// heartbeats don't wait behind calls and results; those of equal priority keep their order.
+type outbox struct {
+	ready chan struct{} // holds a token while messages are queued
+
+	mu     sync.Mutex
+	urgent []notch.Message
+	normal []notch.Message
+}
+
+func newOutbox() *outbox { return &outbox{ready: make(chan struct{}, 1)} }
+
+// put adds a message. It drops the message if queueLength messages wait already.
+func (o *outbox) put(m notch.Message) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.urgent)+len(o.normal) >= queueLength {
+		return
+	}
+	queue := &o.normal
+	if notch.PriorityOf(notch.MessageReceived{Message: m}) == notch.HighPriority {
+		queue = &o.urgent
+	}
+	*queue = append(*queue, m)
+	o.signal()
+}
+
+// take removes and returns the next message. It reports false if there is none.
+func (o *outbox) take() (notch.Message, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	queue := &o.urgent
+	if len(*queue) == 0 {
+		queue = &o.normal
+	}
+	if len(*queue) == 0 {
+		return nil, false
+	}
+	m := (*queue)[0]
+	(*queue)[0] = nil
+	*queue = (*queue)[1:]
+	if len(o.urgent)+len(o.normal) > 0 {
+		o.signal()
+	}
+	return m, true
+}
+
+func (o *outbox) signal() {
+	select {
+	case o.ready <- struct{}{}:
+	default:
+	}
+}
+
+// len returns the number of messages that wait.
+func (o *outbox) len() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.urgent) + len(o.normal)
+}
