Measure what messages to other daemons wait for, and the age of the quorum's contact

A lost contact couldn't be explained from the logs: they named neither the voter that was silent nor the message that its answer waited behind.

- "lost contact with a quorum" has the age of the contact and, for each other voter, the time since its last answer, the entries that it lacks and its unconfirmed messages.
The counter quorum-contact-late counts heartbeats sent without contact for half of the election timeout.
- The link measures for each message its wait, encoding, writing and size (link-wait-us, link-encode-us, link-write-us, link-queued), counts those of 200 ms and longer (link-behind) and logs one a second at most ("link is behind").

lost-contact.txtar and TestLinkMeter check both.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -164,11 +164,12 @@
 	s.effects = append(s.effects, notch.Send{To: to, Message: m})
 }
 
-func (s *stepper) logMessage(text string) {
-	s.effects = append(s.effects, notch.LogMessage{Text: text, Fields: []notch.LogField{
+func (s *stepper) logMessage(text string, fields ...notch.LogField) {
+	common := []notch.LogField{
 		{Name: "replica", Value: s.self.Name},
 		{Name: "term", Value: strconv.FormatUint(s.hardState.Term, 10)},
-	}})
+	}
+	s.effects = append(s.effects, notch.LogMessage{Text: text, Fields: append(common, fields...)})
 }
 
 func (s *stepper) step(b notch.Body) {
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -241,7 +241,7 @@
 func (s *stepper) leaderTick() {
 	if s.quorumDue.Before(s.now) {
 		// A quorum may already have elected another leader.
-		s.logMessage("lost contact with a quorum")
+		s.logMessage("lost contact with a quorum", s.contactFields()...)
 		s.stepDown("")
 		return
 	}
@@ -256,6 +256,7 @@
 		return
 	}
 	s.heartbeatDue = s.now.Add(s.timing.HeartbeatInterval)
+	s.countLateContact()
 	for i := range s.progress {
 		s.sendHeartbeat(i)
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -44,12 +44,12 @@
 
 // Link implements [notch.Link].
 type Link struct {
-	key        []byte
-	post       Post
-	ctx        context.Context
-	cancel     context.CancelFunc
-	wg         sync.WaitGroup
-	countBytes func(bytes int) // called with the size of each message sent
+	key     []byte
+	post    Post
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	observe func(Sent) // called with each message sent
 
 	mu             sync.Mutex
 	hello          notch.Hello
@@ -72,15 +72,12 @@
 // Option adjusts a new Link.
 type Option func(*Link)
 
-// WithCounter calls count with the size of each message sent.
-func WithCounter(count func(bytes int)) Option { return func(l *Link) { l.countBytes = count } }
-
 // New returns a link that sends hello when a connection opens. All daemons share the
 // key.
 func New(key []byte, hello notch.Hello, post Post, opts ...Option) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Link{
-		key: key, post: post, ctx: ctx, cancel: cancel, hello: hello, countBytes: func(int) {},
+		key: key, post: post, ctx: ctx, cancel: cancel, hello: hello, observe: func(Sent) {},
 		peersByName: map[string]*peer{}, peersByAddress: map[string]*peer{},
 	}
 	for _, opt := range opts {
@@ -282,20 +279,28 @@
 	}
 }
 
-// writeNext encodes and writes the next message of p's outbox.
+// writeNext encodes and writes the next message of p's outbox, and reports how long that took.
 func (l *Link) writeNext(ctx context.Context, conn *websocket.Conn, p *peer) error {
 	m, ok := p.outbox.take()
 	if !ok {
 		return nil
 	}
-	b, err := wire.EncodeMessage(m)
+	taken := time.Now()
+	b, err := wire.EncodeMessage(m.message)
 	if err != nil {
 		return err
 	}
-	l.countBytes(len(b))
+	encoded := time.Now()
 	writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	return conn.Write(writeCtx, websocket.MessageBinary, b)
+	if err := conn.Write(writeCtx, websocket.MessageBinary, b); err != nil {
+		return err
+	}
+	l.observe(Sent{
+		To: p.address, Message: m.message, Wait: taken.Sub(m.at), Encode: encoded.Sub(taken), Write: time.Since(encoded),
+		Bytes: len(b), Queued: p.outbox.len(),
+	})
+	return nil
 }
 
 // Handler returns the HTTP handler that accepts connections of other daemons.
--- a/link/outbox.go
+++ b/link/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	notch "tamaracknotch"
 )
@@ -12,8 +13,14 @@
 	ready chan struct{} // holds a token while messages are queued
 
 	mu     sync.Mutex
-	urgent []notch.Message
-	normal []notch.Message
+	urgent []queued
+	normal []queued
+}
+
+// queued is a message in an outbox.
+type queued struct {
+	message notch.Message
+	at      time.Time // when it was queued
 }
 
 func newOutbox() *outbox { return &outbox{ready: make(chan struct{}, 1)} }
@@ -29,12 +36,12 @@
 	if notch.PriorityOf(notch.MessageReceived{Message: m}) == notch.HighPriority {
 		queue = &o.urgent
 	}
-	*queue = append(*queue, m)
+	*queue = append(*queue, queued{m, time.Now()})
 	o.signal()
 }
 
 // take removes and returns the next message. It reports false if there is none.
-func (o *outbox) take() (notch.Message, bool) {
+func (o *outbox) take() (queued, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	queue := &o.urgent
@@ -42,10 +49,10 @@
 		queue = &o.normal
 	}
 	if len(*queue) == 0 {
-		return nil, false
+		return queued{}, false
 	}
 	m := (*queue)[0]
-	(*queue)[0] = nil
+	(*queue)[0] = queued{}
 	*queue = (*queue)[1:]
 	if len(o.urgent)+len(o.normal) > 0 {
 		o.signal()
