consensus: find the replica again after its answer committed an entry

Nobody saw this fail; the step tests of replication led to it. When the answer of the last replica in the list commits an entry, the commit may remove a replica from the set, and with it the last place of the list. The leader then read that place: "index out of range [2] with length 2", and the process ended. With the pool control it takes an edit that drops a host, and the dropped host's answer as the one that completes the quorum.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -293,7 +293,8 @@
 	s.setProgress(i, pr)
 	s.updateQuorumContact()
 	s.advanceCommit()
-	if pr = s.progress[i]; pr.mayAppend() && pr.next <= s.log.lastIndex() {
+	// The commit may have changed the replica set.
+	if i = s.progressIndex(m.From); i >= 0 && s.progress[i].mayAppend() && s.progress[i].next <= s.log.lastIndex() {
 		s.sendAppend(i)
 	}
 }
