--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -17,6 +17,43 @@
 	probing        bool       // an append was rejected, and the replica hasn't confirmed the probe after it
 	probedAt       notch.Time // when the probe was sent; rejections of earlier messages are ignored
 	snapshotSentAt notch.Time // when the unacknowledged snapshot was sent; zero: none
+	unconfirmed    []uint64   // last index of each message with entries that isn't confirmed; never modified in place
+}
+
+// maxUnconfirmedAppends is the number of messages with entries that a replica may have to confirm
+// before further entries wait for one another and go into one message. A heartbeat may exceed it.
+const maxUnconfirmedAppends = 4
+
+// mayAppend reports whether entries may be sent to the replica as soon as there are some.
+func (pr progress) mayAppend() bool {
+	return !pr.probing && len(pr.unconfirmed) < maxUnconfirmedAppends
+}
+
+// withSent returns pr after n entries from next on were sent in one message.
+func (pr progress) withSent(n int) progress {
+	if n == 0 {
+		return pr
+	}
+	pr.next += uint64(n)
+	kept := pr.unconfirmed[:min(len(pr.unconfirmed), maxUnconfirmedAppends-1)]
+	pr.unconfirmed = append(slices.Clip(kept), pr.next-1)
+	return pr
+}
+
+// withMatch returns pr after the replica has confirmed the entries up to index.
+func (pr progress) withMatch(index uint64) progress {
+	pr.match = max(pr.match, index)
+	pr.next = max(pr.next, pr.match+1)
+	for len(pr.unconfirmed) > 0 && pr.unconfirmed[0] <= pr.match {
+		pr.unconfirmed = pr.unconfirmed[1:]
+	}
+	return pr
+}
+
+// withNext returns pr with the next entry to send set back to index.
+func (pr progress) withNext(index uint64) progress {
+	pr.next, pr.unconfirmed = index, nil
+	return pr
 }
 
 // progressFor returns the progress of the replicas in set. It keeps the progress of those
@@ -48,12 +85,27 @@
 	s.progress[i] = pr
 }
 
+// propose appends a command, unless the log holds it already: the daemon that waits for the result
+// sends it again while it isn't applied yet.
 func (s *stepper) propose(b notch.Proposal) {
-	if s.role == roleLeader && !s.stopping && s.hasEnoughVoters() {
+	if s.role == roleLeader && !s.stopping && s.hasEnoughVoters() && !s.isPending(b) {
 		s.appendCommand(b)
 	}
 }
 
+// isPending reports whether the command of the same call is in the log and not yet applied.
+func (s *stepper) isPending(b notch.Proposal) bool {
+	if b.Origin == "" {
+		return false
+	}
+	for i := s.appliedIndex + 1; i <= s.log.lastIndex(); i++ {
+		if e := s.log.entryAt(i); e.Ticket == b.Ticket && e.Origin == b.Origin {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *stepper) appendCommand(b notch.Proposal) {
 	s.appendEntry(notch.LogEntry{
 		Index: s.log.lastIndex() + 1, Term: s.hardState.Term, At: s.now,
@@ -74,14 +126,15 @@
 }
 
 // flush syncs and sends the entries appended since the last flush, so that many commands
-// share one sync and one message.
+// share one sync and one message. Entries for a replica that has several messages to confirm
+// go into one message when it has confirmed one of them, or with the next heartbeat.
 func (s *stepper) flush() {
 	if !s.unflushed || s.role != roleLeader {
 		return
 	}
 	s.persistUnflushed()
 	for i := range s.progress {
-		if pr := s.progress[i]; !pr.probing && pr.next+uint64(s.limits.FlushLag) > s.log.lastIndex() {
+		if pr := s.progress[i]; pr.mayAppend() && pr.next+uint64(s.limits.FlushLag) > s.log.lastIndex() {
 			s.sendAppend(i)
 		}
 	}
@@ -122,7 +175,7 @@
 		PrevIndex: pr.next - 1, PrevTerm: s.log.term(pr.next - 1),
 		Commit: s.commitIndex, SentAt: s.now, Entries: entries,
 	})
-	pr.next += uint64(len(entries))
+	pr = pr.withSent(len(entries))
 	pr.lastSentAt = s.now
 	s.setProgress(i, pr)
 }
@@ -154,7 +207,7 @@
 // confirms them.
 func (s *stepper) probe(i int) {
 	pr := s.progress[i]
-	pr.next = pr.match + 1
+	pr = pr.withNext(pr.match + 1)
 	pr.probing, pr.probedAt = true, s.now
 	s.setProgress(i, pr)
 	s.sendAppend(i)
@@ -188,7 +241,7 @@
 func (s *stepper) leaderTick() {
 	if s.quorumDue.Before(s.now) {
 		// A quorum may already have elected another leader.
-		s.logMessage("lost contact with a quorum")
+		s.logMessage("lost contact with a quorum", s.contactFields()...)
 		s.stepDown("")
 		return
 	}
@@ -196,14 +249,14 @@
 	for i, pr := range s.progress {
 		if pr.match < s.log.lastIndex() && pr.next > s.log.lastIndex() && s.now.Sub(pr.lastSentAt) >= s.timing.ResendTimeout {
 			// The replica hasn't acknowledged all entries; some may have been lost.
-			pr.next = pr.match + 1
-			s.setProgress(i, pr)
+			s.setProgress(i, pr.withNext(pr.match+1))
 		}
 	}
 	if s.now.Before(s.heartbeatDue) {
 		return
 	}
 	s.heartbeatDue = s.now.Add(s.timing.HeartbeatInterval)
+	s.countLateContact()
 	for i := range s.progress {
 		s.sendHeartbeat(i)
 	}
@@ -230,8 +283,7 @@
 		s.onAppendRejected(i, pr, m)
 		return
 	}
-	pr.match = max(pr.match, m.Match)
-	pr.next = max(pr.next, pr.match+1)
+	pr = pr.withMatch(m.Match)
 	if pr.match >= s.snapshotIndex() {
 		pr.snapshotSentAt = 0
 	}
@@ -241,7 +293,8 @@
 	s.setProgress(i, pr)
 	s.updateQuorumContact()
 	s.advanceCommit()
-	if !s.progress[i].probing && pr.next <= s.log.lastIndex() {
+	// The commit may have changed the replica set.
+	if i = s.progressIndex(m.From); i >= 0 && s.progress[i].mayAppend() && s.progress[i].next <= s.log.lastIndex() {
 		s.sendAppend(i)
 	}
 }
@@ -255,7 +308,7 @@
 	if m.SentAt < pr.probedAt || (pr.snapshotSentAt != 0 && m.Match < s.log.base) {
 		return
 	}
-	pr.next = max(min(m.Match, s.log.lastIndex())+1, pr.match+1)
+	pr = pr.withNext(max(min(m.Match, s.log.lastIndex())+1, pr.match+1))
 	pr.probing, pr.probedAt = true, s.now
 	s.setProgress(i, pr)
 	s.sendAppend(i)
