flow: log lapsed leases, cancels and stops that weren't confirmed

The logs couldn't tell when runs ended with their agents' leases and what the renewals had waited for, nor when a cancel was committed and whether its stops were answered. Three lines, each bounded by the events that it reports: one for each answer that lists lapsed runs, one for each cancel, one for each stop that was refused or not answered.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 
 	notch "tamaracknotch"
 	"tamaracknotch/graph"
@@ -94,6 +95,10 @@
 	}
 	next := w.WithCancel(at)
 	s.putWorkflow(next)
+	if s.leads() && !w.State.Ended() {
+		s.logMessage("cancelled", field("request-id", id), field("runs", strconv.Itoa(next.LiveRuns())),
+			field("may-order", strconv.FormatBool(s.mayOrder())))
+	}
 	s.stopUnwanted(next)
 	return notch.WorkflowResult{ID: id, Outcome: notch.WorkflowAccepted}
 }
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	notch "tamaracknotch"
@@ -40,8 +41,9 @@
 	if session.lastAnsweredAt == 0 {
 		s.needsPlan = true
 	}
-	session.unanswered, session.lastAnsweredAt = 0, s.now
 	ends, upTo := s.newEnds(session, b.Answer.Ends)
+	s.logLapsedRuns(session, ends, b.Answer.Clock)
+	session.unanswered, session.lastAnsweredAt = 0, s.now
 	ends = append(ends, s.endsOfMissingRuns(session, a, b)...)
 	for _, l := range b.Answer.Live {
 		s.checkLiveRun(session, a, l)
@@ -62,6 +64,33 @@
 	}
 }
 
+// logLapsedRuns logs how many runs ended because an agent's lease expired, and what this leader
+// had done for the lease. Clock is the agent's clock when it answered, in ms.
+func (s *stepper) logLapsedRuns(session agentSession, ends []notch.RunEnd, clock int64) {
+	lapsed := 0
+	for _, e := range ends {
+		if e.Kind == notch.RunLeaseExpired {
+			lapsed++
+		}
+	}
+	if lapsed == 0 {
+		return
+	}
+	left, lastAnswer := "never", "never"
+	if until := session.lease.GrantedUntil(); until != 0 {
+		left = (time.Duration(until-clock) * time.Millisecond).String()
+	}
+	if session.lastAnsweredAt != 0 {
+		lastAnswer = logDuration(s.now.Sub(session.lastAnsweredAt))
+	}
+	s.logMessage("runs ended with an agent's lease",
+		field("agent", session.incarnation.Agent), field("runs", strconv.Itoa(lapsed)),
+		field("lease-left", left), field("last-answer", lastAnswer), field("unanswered", strconv.Itoa(session.unanswered)),
+		field("leading-for", logDuration(s.now.Sub(s.leadership.Ready))))
+}
+
+func logDuration(d time.Duration) string { return d.Round(time.Millisecond).String() }
+
 // evacuate stops the runs on a draining agent that can continue elsewhere without losing work:
 // long-running tasks and tasks that save their progress.
 func (s *stepper) evacuate(a notch.Agent, live []notch.LiveRun) {
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -144,6 +144,8 @@
 	orders.stopSentAt = 0
 	if b.Answer.Kind == notch.AgentOK {
 		orders.stopAnsweredAt = s.now
+	} else {
+		s.logMessage("stop not confirmed", runFields(b.Order.Run, b.Life.Agent, string(b.Answer.Kind)+" "+string(b.Answer.Reason))...)
 	}
 	s.runOrders = s.runOrders.Set(b.Order.Run, orders)
 	if _, known := s.run(b.Order.Run); !known {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -56,6 +56,10 @@
 	return l
 }
 
+// GrantedUntil returns the agent's time in ms at which the longest lease ends that was sent to
+// it, or 0 if none was.
+func (l AgentLease) GrantedUntil() int64 { return l.grantedUntil }
+
 // minAgentClock returns the time in ms that the agent's clock has certainly reached.
 func (l AgentLease) minAgentClock(now notch.Time) int64 {
 	return l.agentClock + int64(float64(now.Sub(l.clockReadAt))*(1-MaxClockDrift)/float64(time.Millisecond))
