Score an agent without looking up the interference of each pair of images

Callers saw their tasks start 0.6 s after hand-in (median; 4.6 s at 95 of 100) at high load on deployments of 350 and 490 agents. From 13 s on, plans of 70 to 280 ms took half of the leader's loop and more, with 20,000 to 68,000 scores each.

Cause: for each opportunistic group and agent, the placer looked up the interference coefficient of each service image with each load on the agent, though what the present loads take doesn't depend on the group. A score cost 2 to 3 us on a leader's share of a core, ten times what the pause after a plan assumes. BenchmarkPlan didn't show it: its opportunistic groups lack memory, and are refused before that look-up.

Now a view of an agent holds what its loads take from each service image, computed once a plan, and a group looks up one coefficient for each service image. Choices stay as they were, but for rounding.

TestPlanLooksUpCoefficientsOncePerGroup failed before: 14,400 look-ups, at most 840 wanted. TestScoresDifferential now counts what placed opportunistic tasks take. The simulator's processor model charges a view by its service images, as views no longer list loads; the look-ups for these are charged beside that.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -17,11 +17,15 @@
 func agent(free int64, serviceImages []string, loads []notch.OpportunisticLoad) notch.AgentView {
 	var services []notch.ServiceImage
 	for _, image := range serviceImages {
-		services = append(services, notch.ServiceImage{Image: image, SpareHeadroom: 1.7})
+		o := notch.ServiceImage{Image: image, SpareHeadroom: 1.7}
+		for _, l := range loads {
+			o.TakenHeadroom += colocation.New().InterferenceCoefficient(image, l.Image) * l.CPUShare
+		}
+		services = append(services, o)
 	}
 	return notch.AgentView{
 		Agent: notch.Agent{Size: notch.Resources{MilliCPU: 64000, MemoryMB: 100}, Rack: "r1"},
-		Free:  notch.Resources{MilliCPU: free, MemoryMB: 50}, ServiceImages: services, OpportunisticLoads: loads,
+		Free:  notch.Resources{MilliCPU: free, MemoryMB: 50}, ServiceImages: services,
 	}
 }
 
--- a/assign/place.go
+++ b/assign/place.go
@@ -22,7 +22,7 @@
 
 // Score implements [notch.RunPlacer].
 func (p ByScore) Score(st notch.Stage, agents notch.AgentViews) notch.AgentScores {
-	s := &agentScores{placer: p, stage: st, agents: agents, scores: make([]agentScore, agents.Len())}
+	s := &agentScores{model: p.ColocationModel, stage: st, agents: agents, scores: make([]agentScore, agents.Len())}
 	for i := range s.scores {
 		s.Rescore(i)
 	}
@@ -31,7 +31,8 @@
 
 // score rates an agent by the resources and headroom that remain once a task of the stage runs
 // there.
-func (p ByScore) score(st *notch.Stage, v *notch.AgentView) agentScore {
+func (s *agentScores) score(v *notch.AgentView) agentScore {
+	st := &s.stage
 	if !st.Reserved().Fits(v.Free) {
 		return agentScore{}
 	}
@@ -42,9 +43,12 @@
 	score := freeShare
 	switch {
 	case st.Fills:
-		spare, found := p.minSpareHeadroom(v, notch.OpportunisticLoad{Image: st.Image, CPUShare: float64(st.Size.MilliCPU) / milliCPU})
 		unused := float64(v.Free.MilliCPU-v.OpportunisticMilliCPU-st.Size.MilliCPU) + serviceIdleShare*float64(v.ServiceMilliCPU)
-		if found && spare < 0 || unused < 0 {
+		if unused < 0 {
+			return agentScore{}
+		}
+		spare, found := s.minSpareHeadroom(v.ServiceImages, float64(st.Size.MilliCPU)/milliCPU)
+		if found && spare < 0 {
 			return agentScore{}
 		}
 		score = min(unused/milliCPU, memory)
@@ -75,18 +79,28 @@
 	return score
 }
 
-// minSpareHeadroom returns the least spare headroom of the service tasks on an agent when one
-// more load runs there. It returns false if the agent has no service tasks.
-func (p ByScore) minSpareHeadroom(v *notch.AgentView, more notch.OpportunisticLoad) (least float64, found bool) {
-	for _, o := range v.ServiceImages {
-		taken := p.ColocationModel.InterferenceCoefficient(o.Image, more.Image) * more.CPUShare
-		for _, l := range v.OpportunisticLoads {
-			taken += p.ColocationModel.InterferenceCoefficient(o.Image, l.Image) * l.CPUShare
-		}
-		spare := o.SpareHeadroom - headroomMargin*taken
+// minSpareHeadroom returns the least spare headroom of the service images on an agent when one
+// more task of the stage runs there, which uses the given share of the processors. It returns
+// false if the agent has no service tasks.
+func (s *agentScores) minSpareHeadroom(services []notch.ServiceImage, cpuShare float64) (least float64, found bool) {
+	for i := range services {
+		o := &services[i]
+		spare := o.SpareHeadroom - headroomMargin*(o.TakenHeadroom+s.coefficient(o.Image)*cpuShare)
 		if !found || spare < least {
 			least, found = spare, true
 		}
 	}
 	return least, found
 }
+
+// coefficient returns the interference coefficient of a service image and the image of the stage.
+func (s *agentScores) coefficient(service string) float64 {
+	for i := range s.coefficients {
+		if c := &s.coefficients[i]; c.service == service {
+			return c.value
+		}
+	}
+	c := imageCoefficient{service: service, value: s.model.InterferenceCoefficient(service, s.stage.Image)}
+	s.coefficients = append(s.coefficients, c)
+	return c.value
+}
--- a/assign/scores.go
+++ b/assign/scores.go
@@ -18,10 +18,11 @@
 
 // agentScores implements [notch.AgentScores] for ByScore.
 type agentScores struct {
-	placer ByScore
-	stage  notch.Stage
-	agents notch.AgentViews
-	scores []agentScore
+	model        notch.ColocationModel
+	stage        notch.Stage
+	agents       notch.AgentViews
+	scores       []agentScore
+	coefficients []imageCoefficient // those that were looked up
 
 	// Sums over all agents:
 	freeMilliCPU  int64
@@ -37,12 +38,18 @@
 	milliCPU     int64
 }
 
+// imageCoefficient is the interference coefficient of a service image and the image of the stage.
+type imageCoefficient struct {
+	service string
+	value   float64
+}
+
 // Rescore implements [notch.AgentScores].
 func (s *agentScores) Rescore(i int) {
 	v, ok := s.agents.At(i)
 	var next agentScore
 	if ok {
-		next = s.placer.score(&s.stage, v)
+		next = s.score(v)
 	}
 	next.freeMilliCPU, next.milliCPU = v.Free.MilliCPU, v.Agent.Size.MilliCPU
 	s.freeMilliCPU += next.freeMilliCPU - s.scores[i].freeMilliCPU
--- a/assign/scores_test.go
+++ b/assign/scores_test.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -44,7 +45,7 @@
 				t.Fatalf("task %d: got capacity %v, want %v", seed, got, want)
 			}
 			if got >= 0 {
-				as[got] = withTask(as[got], st)
+				as[got] = withTask(as[got], st, placer.ColocationModel)
 				scores.Rescore(got)
 			}
 		}
@@ -52,10 +53,15 @@
 }
 
 // withTask returns a view with one more task.
-func withTask(v notch.AgentView, st notch.Stage) notch.AgentView {
+func withTask(v notch.AgentView, st notch.Stage, model notch.ColocationModel) notch.AgentView {
 	v.Free = v.Free.Minus(st.Reserved())
 	if st.Fills {
 		v.OpportunisticMilliCPU += st.Size.MilliCPU
+		v.ServiceImages = slices.Clone(v.ServiceImages)
+		for i, o := range v.ServiceImages {
+			share := float64(st.Size.MilliCPU) / float64(v.Agent.Size.MilliCPU)
+			v.ServiceImages[i].TakenHeadroom += model.InterferenceCoefficient(o.Image, st.Image) * share
+		}
 	}
 	return v
 }
--- a/fake/processor_test.go
+++ b/fake/processor_test.go
@@ -16,7 +16,7 @@
 	rankTime          = 80 * time.Microsecond  // of listing and sorting one group of ready tasks
 	examinedAgentTime = 400 * time.Nanosecond  // of an agent that is considered for a task
 	builtViewTime     = 2 * time.Microsecond   // of a view of an agent
-	builtLoadTime     = 4 * time.Microsecond   // of a run in such a view
+	builtImageTime    = 12 * time.Microsecond  // of the tasks of a service image in such a view
 	coefficientTime   = 100 * time.Nanosecond  // of looking up an interference coefficient
 	headroomTime      = 200 * time.Nanosecond  // of estimating the headroom of a group of service tasks
 	agentCallTime     = 100 * time.Microsecond // of an order to an agent and its answer
@@ -34,7 +34,7 @@
 	cores      float64       // share of a core that each daemon has
 	work       time.Duration // counted in the step in progress
 	processors map[*drive.Node]*processor
-	views      map[string][]notch.OpportunisticLoad // by agent: the loads of its latest view
+	views      map[string][]notch.ServiceImage // by agent: the service images of its latest view
 }
 
 // processor is the state of one daemon's share of a core. Times of work are on a whole core.
@@ -46,7 +46,7 @@
 // limitProcessors makes the steps of all daemons take time, on a share of a core each. It
 // replaces the policy of workflows by one that counts its work.
 func limitProcessors(s *Testbed, cores float64) {
-	m := &processorModel{Testbed: s, cores: cores, processors: map[*drive.Node]*processor{}, views: map[string][]notch.OpportunisticLoad{}}
+	m := &processorModel{Testbed: s, cores: cores, processors: map[*drive.Node]*processor{}, views: map[string][]notch.ServiceImage{}}
 	policy := s.Policies.Workflows
 	s.Policies.Workflows.Order = countingOrder{policy.Order, m}
 	s.Policies.Workflows.Placer = func(model notch.ColocationModel) notch.RunPlacer {
@@ -165,14 +165,14 @@
 }
 
 // chargeView charges for a view that was built since the agent was last examined. Such a view
-// has a list of loads of its own.
+// has a list of service images of its own.
 func (m *processorModel) chargeView(v *notch.AgentView) {
-	loads := v.OpportunisticLoads
-	if len(loads) == 0 || sameSlice(loads, m.views[v.Agent.ID]) {
+	images := v.ServiceImages
+	if len(images) == 0 || sameSlice(images, m.views[v.Agent.ID]) {
 		return
 	}
-	m.views[v.Agent.ID] = loads
-	m.work += builtViewTime + builtLoadTime*time.Duration(len(loads))
+	m.views[v.Agent.ID] = images
+	m.work += builtViewTime + builtImageTime*time.Duration(len(images))
 }
 
 // sameSlice reports whether two slices that aren't empty share their elements.
--- a/flow/plan_test.go
+++ b/flow/plan_test.go
@@ -12,8 +12,9 @@
 
 // countingPolicy counts what plans examine.
 type countingPolicy struct {
-	agents    int // agent views that the placer examined
-	headrooms int // estimates of the headroom of service tasks
+	agents       int // agent views that the placer examined
+	headrooms    int // estimates of the headroom of service tasks
+	coefficients int // look-ups of interference coefficients
 }
 
 func (c *countingPolicy) policy() Policy {
@@ -52,6 +53,11 @@
 	return m.ColocationModel.HeadroomAlone(group, at)
 }
 
+func (m countingModel) InterferenceCoefficient(service, opportunistic string) float64 {
+	m.count.coefficients++
+	return m.ColocationModel.InterferenceCoefficient(service, opportunistic)
+}
+
 // plan makes a plan and returns its placements.
 func (s *testLeader) plan() []notch.RunPlacement {
 	s.advance(time.Second)
@@ -109,3 +115,24 @@
 		}
 	}
 }
+
+// TestPlanLooksUpCoefficientsOncePerGroup guards against plans that look up the interference of all
+// tasks on an agent for each group that waits (issue 20).
+func TestPlanLooksUpCoefficientsOncePerGroup(t *testing.T) {
+	const agents, groups = 40, 60
+	count := &countingPolicy{}
+	s := newTestLeader(agents, WithPolicy(count.policy()))
+	most := groups * serviceImageCount
+	for i := range agents {
+		s.colocate(i)
+		most += serviceImagesPerAgent * opportunisticPerAgent
+	}
+	s.submitOpportunistic(groups)
+	count.coefficients = 0
+	if got, want := len(s.plan()), 0; got != want {
+		t.Errorf("placements: got %d, want %d", got, want)
+	}
+	if got := count.coefficients; got > most {
+		t.Errorf("interference coefficients looked up: got %d, want at most %d", got, most)
+	}
+}
--- a/flow/views.go
+++ b/flow/views.go
@@ -50,16 +50,35 @@
 	}
 }
 
-// addImages adds the images of the tasks on agent i to its view.
+// addImages adds the service images on agent i to its view.
 func (v *agentViews) addImages(i int) {
 	v.colocated[i] = true
 	view := &v.agents[i]
 	view.ServiceImages = v.s.serviceImages(view.Agent.ID, v.loads[i])
-	for _, r := range v.loads[i].runs {
+	if len(view.ServiceImages) == 0 {
+		return
+	}
+	for _, l := range declaredLoads(view.Agent, v.loads[i].runs) {
+		v.takeHeadroom(view.ServiceImages, l)
+	}
+}
+
+// takeHeadroom adds in place what one more load takes from each service image.
+func (v *agentViews) takeHeadroom(services []notch.ServiceImage, l notch.OpportunisticLoad) {
+	for i := range services {
+		services[i].TakenHeadroom += v.s.colocationModel.InterferenceCoefficient(services[i].Image, l.Image) * l.CPUShare
+	}
+}
+
+// declaredLoads returns the loads of the opportunistic tasks among runs, by image.
+func declaredLoads(a notch.Agent, runs []agentRun) []notch.OpportunisticLoad {
+	var out []notch.OpportunisticLoad
+	for _, r := range runs {
 		if r.stage.Fills {
-			view.OpportunisticLoads = append(view.OpportunisticLoads, declaredLoad(view.Agent, r.stage))
+			out = mergeLoad(out, declaredLoad(a, r.stage))
 		}
 	}
+	return out
 }
 
 // declaredLoad returns the load of an opportunistic task.
@@ -115,7 +134,7 @@
 	switch {
 	case v.stage.Fills:
 		view.OpportunisticMilliCPU += v.stage.Size.MilliCPU
-		view.OpportunisticLoads = append(slices.Clip(view.OpportunisticLoads), declaredLoad(view.Agent, &v.stage))
+		v.takeHeadroom(view.ServiceImages, declaredLoad(view.Agent, &v.stage))
 	case v.stage.Target > 0:
 		view.ServiceMilliCPU += v.stage.Size.MilliCPU
 	}
--- a/policy.go
+++ b/policy.go
@@ -171,17 +171,17 @@
 // AgentView is an agent as a placer sees it.
 type AgentView struct {
 	Agent                 Agent
-	Free                  Resources           // resources that aren't reserved
-	OpportunisticMilliCPU int64               // milli-cpu declared by the opportunistic tasks
-	ServiceMilliCPU       int64               // milli-cpu reserved by the service tasks
-	ServiceImages         []ServiceImage      // the service tasks, grouped by image
-	OpportunisticLoads    []OpportunisticLoad // declared CPU use of the opportunistic tasks
+	Free                  Resources      // resources that aren't reserved
+	OpportunisticMilliCPU int64          // milli-cpu declared by the opportunistic tasks
+	ServiceMilliCPU       int64          // milli-cpu reserved by the service tasks
+	ServiceImages         []ServiceImage // the service tasks, grouped by image
 }
 
 // ServiceImage is the service tasks of one image on an agent, as a placer sees them.
 type ServiceImage struct {
 	Image         string
 	SpareHeadroom float64 // latency headroom that all opportunistic tasks on the agent together may use up
+	TakenHeadroom float64 // estimate of what the opportunistic tasks on the agent use up, by their declared CPU use
 }
 
 // AgentViews is an indexed view of the agents of a pool that accept runs.
