Plans look up routes by name in an index

Each plan looks up the route of each waiting group twice, and did so by a scan of all routes, which copies each. So a plan's time grew with the backlog times the routes, beside what its pause accounts for.

TestRoutesByName compares the index with the tables, duplicate names included. There is no test that failed before, as only time changed.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -42,7 +42,7 @@
 	if _, ok := s.workflows.Get(w.ID); ok {
 		return notch.WorkflowResult{ID: w.ID, Outcome: notch.WorkflowAccepted}
 	}
-	route, ok := s.tables.Route(w.Route)
+	route, ok := s.routes[w.Route]
 	if !ok {
 		return notch.WorkflowResult{ID: w.ID, Outcome: notch.WorkflowNoRoute, Reason: fmt.Sprintf("there is no route %q", w.Route)}
 	}
@@ -228,7 +228,7 @@
 // routeOf returns the workflow's route as it is now or, if it was removed, as it was when the
 // workflow was accepted.
 func (s *stepper) routeOf(w *graph.Workflow) notch.Route {
-	if route, ok := s.tables.Route(w.Flow.Route); ok {
+	if route, ok := s.routes[w.Flow.Route]; ok {
 		return route
 	}
 	return w.Flow.Terms
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -11,6 +11,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -73,6 +74,7 @@
 	timing        Timing
 	policy        Policy
 	tables        notch.Tables
+	routes        map[string]notch.Route // of the tables, by name; the map is never modified
 	leader        string
 	operatorAddrs map[string]string // addresses for operators, by daemon name; the map is never modified
 
@@ -155,7 +157,7 @@
 	case notch.Restored:
 		s.restore(b.Snapshot)
 	case notch.TablesCommitted:
-		s.tables = b.Tables
+		s.tables, s.routes = b.Tables, routesByName(b.Tables)
 		s.needsPlan = true
 	case notch.LeaderChanged:
 		s.leader = b.Leader
@@ -181,6 +183,15 @@
 	return s.Part, s.out
 }
 
+// routesByName indexes the routes of tables, as plans look one up for each group that waits.
+func routesByName(t notch.Tables) map[string]notch.Route {
+	out := make(map[string]notch.Route, len(t.Routes))
+	for _, r := range slices.Backward(t.Routes) {
+		out[r.Name] = r // of several routes with a name, the first one counts, as for Tables.Route
+	}
+	return out
+}
+
 // stepper is a Part during a step, with the effects so far.
 type stepper struct {
 	Part
--- a/flow/plan_bench_test.go
+++ b/flow/plan_bench_test.go
@@ -26,6 +26,34 @@
 	}
 }
 
+// BenchmarkPlanRoutes measures a plan for 400 groups in a pool without agents, by the number of
+// routes.
+func BenchmarkPlanRoutes(b *testing.B) {
+	for _, routes := range []int{1, 240, 1080} {
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			s := newTestLeader(0)
+			s.step(notch.TablesCommitted{Tables: tablesOfRoutes(routes)})
+			s.submitOpportunistic(400)
+			s.plan()
+			e := notch.Event{At: s.now.Add(20 * time.Millisecond), Body: notch.Tick{}}
+			for b.Loop() {
+				notch.Step(s.state, e)
+			}
+		})
+	}
+}
+
+// tablesOfRoutes returns testTables with other routes before the one that is used.
+func tablesOfRoutes(n int) notch.Tables {
+	t := testTables()
+	var routes []notch.Route
+	for i := range n - 1 {
+		routes = append(routes, notch.Route{Name: fmt.Sprint("other", i), Path: "/o/", Pool: "p"})
+	}
+	t.Routes = append(routes, t.Routes...)
+	return t
+}
+
 // The runs that occupy places on each agent.
 const (
 	runsPerAgent     = 15
--- a/flow/workflows_test.go
+++ b/flow/workflows_test.go
@@ -99,3 +99,22 @@
 	}
 	return out
 }
+
+// TestRoutesByName compares the index of routes with look-ups in the tables.
+func TestRoutesByName(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tables notch.Tables
+		for i := range rapid.IntRange(0, 8).Draw(t, "routes") {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+			tables.Routes = append(tables.Routes, notch.Route{Name: name, Priority: i})
+		}
+		index := routesByName(tables)
+		for _, name := range []string{"a", "b", "c", "d"} {
+			got, gotOK := index[name]
+			want, wantOK := tables.Route(name)
+			if got != want || gotOK != wantOK {
+				t.Fatalf("route %s of %v: got %v %t, want %v %t", name, tables.Routes, got, gotOK, want, wantOK)
+			}
+		}
+	})
+}
