--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -14,14 +14,35 @@
 func (a agents) Len() int                          { return len(a) }
 func (a agents) At(i int) (*notch.AgentView, bool) { return &a[i], true }
 
+func (a agents) Candidates() []int {
+	var out []int
+	for i := range a {
+		out = append(out, i)
+	}
+	return out
+}
+
+func (a agents) ReservedShare() float64 {
+	var free, total int64
+	for _, v := range a {
+		free += v.Free.MilliCPU
+		total += v.Agent.Size.MilliCPU
+	}
+	return 1 - float64(free)/float64(max(1, total))
+}
+
 func agent(free int64, serviceImages []string, loads []notch.OpportunisticLoad) notch.AgentView {
 	var services []notch.ServiceImage
 	for _, image := range serviceImages {
-		services = append(services, notch.ServiceImage{Image: image, SpareHeadroom: 1.7})
+		o := notch.ServiceImage{Image: image, SpareHeadroom: 1.7}
+		for _, l := range loads {
+			o.TakenHeadroom += colocation.New().InterferenceCoefficient(image, l.Image) * l.CPUShare
+		}
+		services = append(services, o)
 	}
 	return notch.AgentView{
 		Agent: notch.Agent{Size: notch.Resources{MilliCPU: 64000, MemoryMB: 100}, Rack: "r1"},
-		Free:  notch.Resources{MilliCPU: free, MemoryMB: 50}, ServiceImages: services, OpportunisticLoads: loads,
+		Free:  notch.Resources{MilliCPU: free, MemoryMB: 50}, ServiceImages: services,
 	}
 }
 
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -43,7 +43,7 @@
 	if _, ok := s.workflows.Get(w.ID); ok {
 		return notch.WorkflowResult{ID: w.ID, Outcome: notch.WorkflowAccepted}
 	}
-	route, ok := s.tables.Route(w.Route)
+	route, ok := s.routes[w.Route]
 	if !ok {
 		return notch.WorkflowResult{ID: w.ID, Outcome: notch.WorkflowNoRoute, Reason: fmt.Sprintf("there is no route %q", w.Route)}
 	}
@@ -136,13 +136,9 @@
 func (s *stepper) placeRuns(c notch.PlaceRuns, at notch.Time) {
 	s.placementsProposedAt = 0
 	for _, pl := range c.Placements {
-		w, ok := s.workflows.Get(pl.Task.Flow)
+		w, t, a, ok := s.placementTarget(pl)
 		if !ok {
-			continue
-		}
-		t, ok := w.Task(pl.Task)
-		a, known := s.agents.Get(pl.Life.Agent)
-		if !ok || !known || a.Incarnation() != pl.Life || a.Left || t.Latest != pl.After || !w.MayRun(t) {
+			s.planMemory = planMemory{} // the plan counted on this run
 			continue
 		}
 		r := notch.Run{Number: t.Latest + 1, Life: pl.Life, Token: c.Token, Since: at}
@@ -154,6 +150,19 @@
 	s.count("runs-placed", len(c.Placements))
 }
 
+// placementTarget returns the workflow, the task and the agent of a placement. It returns false if
+// the placement no longer fits their state.
+func (s *stepper) placementTarget(pl notch.RunPlacement) (*graph.Workflow, notch.WorkflowTask, notch.Agent, bool) {
+	w, ok := s.workflows.Get(pl.Task.Flow)
+	if !ok {
+		return nil, notch.WorkflowTask{}, notch.Agent{}, false
+	}
+	t, ok := w.Task(pl.Task)
+	a, known := s.agents.Get(pl.Life.Agent)
+	fits := ok && known && a.Incarnation() == pl.Life && !a.Left && t.Latest == pl.After && w.MayRun(t)
+	return w, t, a, fits
+}
+
 func (s *stepper) endRuns(c notch.EndRuns, at notch.Time) {
 	for _, e := range c.Ends {
 		s.endRun(c.Life, e, at)
@@ -224,7 +233,7 @@
 // routeOf returns the workflow's route as it is now or, if it was removed, as it was when the
 // workflow was accepted.
 func (s *stepper) routeOf(w *graph.Workflow) notch.Route {
-	if route, ok := s.tables.Route(w.Flow.Route); ok {
+	if route, ok := s.routes[w.Flow.Route]; ok {
 		return route
 	}
 	return w.Flow.Terms
