Interrupted long-running tasks start before first starts

Cause: assign.BySlack ranked a long-running task by the slack of its workflow. The objective of a workflow that was accepted long ago has passed, so its interrupted tasks went behind every first start of newer long-running workflows, which took the agents that had room.

A plan now has a group's interrupted tasks apart from those that never had a run, and BySlack ranks them before all others. flow-restart-order failed before: the plan placed a new workflow's task and a first start of the old workflow, and not the interrupted task. The case in TestOrder needs the new field.

Scripts that drive one state can now see what is proposed (part proposals). The check of flow-drain.txtar that a draining agent gets no placement looked for text that the effects never held; it now sees the proposals, and holds.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -100,6 +100,10 @@
 		before, after notch.ReadyTask
 	}{
 		{"a long-running task", with(func(r *notch.ReadyTask) { r.LongRunning, r.Priority = true, 5 }), base},
+		{"an interrupted task of a workflow that has missed its objective", with(func(r *notch.ReadyTask) {
+			r.LongRunning, r.Interrupted, r.Priority = true, true, 5
+			r.Accepted, r.Due = now.Add(-time.Minute), now.Add(-50*time.Second)
+		}), with(func(r *notch.ReadyTask) { r.LongRunning = true })},
 		{"a route with a lower priority number", with(func(r *notch.ReadyTask) { r.Priority = 0; r.Due = now.Add(time.Hour) }), base},
 		{"less slack", with(func(r *notch.ReadyTask) { r.Due = now.Add(4 * time.Second) }), base},
 		{"a longer critical path", with(func(r *notch.ReadyTask) { r.Remaining = 2 * time.Second }), base},
--- a/assign/order.go
+++ b/assign/order.go
@@ -3,15 +3,17 @@
 
 import notch "tamaracknotch"
 
-// BySlack starts long-running tasks first, then those of the routes with the lower priority
-// number. Among tasks of equal priority, it starts those first whose workflows can still meet
-// their objective, then those whose workflows can still end in time to count as late, then the
-// rest; each of these groups is ordered by slack, least first. With more work than capacity, workflows that have already
-// missed their objective must not delay the others.
+// BySlack starts interrupted tasks first, as callers miss what ran before more than what hasn't
+// started yet. The other long-running tasks follow, then the rest. Within each of these classes, it
+// starts those of the routes with the lower priority number first. Among tasks of equal priority, it
+// starts those first whose workflows can still meet their objective, then those whose workflows can
+// still end in time to count as late, then the rest; each of these groups is ordered by slack, least
+// first. With more work than capacity, workflows that have already missed their objective must not
+// delay the others.
 type BySlack struct{}
 
-// The fields of a rank, most significant first: whether the task is long-running (1 bit), the
-// priority of its route, the lateness of its workflow, the slack in ms.
+// The fields of a rank, most significant first: the class of the task, the priority of its route,
+// the lateness of its workflow, the slack in ms.
 const (
 	slackBits    = 40
 	latenessBits = 2
@@ -35,10 +37,18 @@
 	rank := min(max(slack.Milliseconds()+maxSlack/2, 0), maxSlack)
 	rank += lateness << slackBits
 	rank += int64(min(max(t.Priority, 0), 1<<priorityBits-1)) << (slackBits + latenessBits)
-	if !t.LongRunning {
-		rank += 1 << (slackBits + latenessBits + priorityBits)
+	return rank + class(t)<<(slackBits+latenessBits+priorityBits)
+}
+
+// class returns the most significant field of a rank.
+func class(t notch.ReadyTask) int64 {
+	switch {
+	case t.Interrupted:
+		return 0
+	case t.LongRunning:
+		return 1
 	}
-	return rank
+	return 2
 }
 
 // FIFO starts tasks in the order in which their workflows were accepted.
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -99,7 +99,7 @@
 	placementsProposedAt notch.Time // of placements that aren't committed yet; zero: there are none
 	plannedAt            notch.Time
 	planPause            time.Duration // after the last plan, in addition to Timing.PlanInterval
-	planResumesAt        notch.TaskRef // group at which the last plan reached its limit of scores; zero: it didn't
+	planResumesAt        readyGroupKey // group at which the last plan reached its limit of scores; zero: it didn't
 	needsPlan            bool          // the input of plans has changed since the last plan, or that plan reached a limit
 }
 
@@ -141,7 +141,7 @@
 	p.colocations = immutable.NewMap[string, colocationState](nil)
 	p.colocationModel = p.policy.ColocationModel
 	p.placementsProposedAt, p.plannedAt, p.incarnations = 0, 0, 0
-	p.planPause, p.planResumesAt = 0, notch.TaskRef{}
+	p.planPause, p.planResumesAt = 0, readyGroupKey{}
 	return p
 }
 
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -54,7 +54,7 @@
 func (s *stepper) assign(groups []readyGroup) []notch.RunPlacement {
 	p := planner{stepper: s, placer: s.policy.Placer(s.colocationModel), pools: map[string]*agentViews{}}
 	for _, g := range groups {
-		p.made.Ready += g.workflow.Waiting(g.group)
+		p.made.Ready += g.tasks
 	}
 	p.placeGroups(groups)
 	s.needsPlan = p.made.Incomplete
@@ -70,12 +70,12 @@
 func (p *planner) placeGroups(groups []readyGroup) {
 	n := p.placeUntil(groups, maxScores/2)
 	rest := groups[n:]
-	first := max(0, slices.IndexFunc(rest, func(g readyGroup) bool { return g.ref() == p.planResumesAt }))
+	first := max(0, slices.IndexFunc(rest, func(g readyGroup) bool { return g.key() == p.planResumesAt }))
 	rest = slices.Concat(rest[first:], rest[:first])
 	n = p.placeUntil(rest, maxScores)
-	p.planResumesAt = notch.TaskRef{}
+	p.planResumesAt = readyGroupKey{}
 	if n < len(rest) {
-		p.planResumesAt, p.made.Incomplete = rest[n].ref(), true
+		p.planResumesAt, p.made.Incomplete = rest[n].key(), true
 	}
 }
 
@@ -123,7 +123,7 @@
 	scores := p.placer.Score(st, v)
 	p.made.AgentsExamined += v.Len()
 	seed := p.seed + uint64(g.ahead)
-	g.workflow.EachWaiting(g.group, func(ref notch.TaskRef, t notch.WorkflowTask) bool {
+	g.eachTask(func(ref notch.TaskRef, t notch.WorkflowTask) bool {
 		i := scores.Next(p.now.Sub(t.Idle), seed)
 		if i < 0 {
 			v.addShortage(scores)
--- a/flow/ready.go
+++ b/flow/ready.go
@@ -9,17 +9,39 @@
 	"tamaracknotch/graph"
 )
 
-// readyGroup is a group with tasks that could start now.
+// readyGroup is the tasks of a group that could start now. Those of a long-running stage that were
+// interrupted are apart from those that never had a run.
 type readyGroup struct {
-	workflow *graph.Workflow
-	group    int
-	rank     int64
-	ahead    int // number of tasks that could start now, in the groups ahead of this one
+	workflow    *graph.Workflow
+	group       int
+	interrupted bool // of a long-running stage: the tasks have had a run
+	tasks       int  // number of tasks that could start now
+	rank        int64
+	ahead       int // number of tasks that could start now, in the groups ahead of this one
 }
 
-// ref identifies the group by a TaskRef with Index 0.
+// readyGroupKey identifies a readyGroup.
+type readyGroupKey struct {
+	group       notch.TaskRef // with Index 0
+	interrupted bool
+}
+
+func (g readyGroup) key() readyGroupKey { return readyGroupKey{g.ref(), g.interrupted} }
+
+// ref identifies the stage by a TaskRef with Index 0.
 func (g readyGroup) ref() notch.TaskRef { return g.workflow.TaskRef(g.group, 0) }
 
+// eachTask calls f for each task, until f returns false.
+func (g readyGroup) eachTask(f func(ref notch.TaskRef, t notch.WorkflowTask) bool) {
+	lasts := g.workflow.Stage(g.group).Lasts
+	g.workflow.EachWaiting(g.group, func(ref notch.TaskRef, t notch.WorkflowTask) bool {
+		if g.interrupted != (lasts && t.Latest > 0) {
+			return true
+		}
+		return f(ref, t)
+	})
+}
+
 // readyGroups lists the groups with tasks that could start now, in the order of the policy.
 func (s *stepper) readyGroups() []readyGroup {
 	var out []readyGroup
@@ -27,7 +49,7 @@
 		_, w, _ := it.Next()
 		for g := range w.GroupCount() {
 			if w.Waiting(g) > 0 && w.Due(g, s.unixMilli) {
-				out = append(out, readyGroup{workflow: w, group: g, rank: s.policy.Order.Rank(s.rankInput(w, g), s.now)})
+				out = append(out, s.readyTasks(w, g)...)
 			}
 		}
 	}
@@ -35,17 +57,47 @@
 	ahead := 0
 	for i := range out {
 		out[i].ahead = ahead
-		ahead += out[i].workflow.Waiting(out[i].group)
+		ahead += out[i].tasks
 	}
 	return out
 }
 
+// readyTasks returns the waiting tasks of a group, the interrupted ones apart from the others.
+func (s *stepper) readyTasks(w *graph.Workflow, group int) []readyGroup {
+	all := readyGroup{workflow: w, group: group, tasks: w.Waiting(group)}
+	split := []readyGroup{all}
+	if w.Stage(group).Lasts {
+		interrupted := all
+		interrupted.interrupted, interrupted.tasks = true, countInterrupted(w, group)
+		split[0].tasks -= interrupted.tasks
+		split = append(split, interrupted)
+	}
+	split = slices.DeleteFunc(split, func(g readyGroup) bool { return g.tasks == 0 })
+	for i, g := range split {
+		split[i].rank = s.policy.Order.Rank(s.rankInput(g), s.now)
+	}
+	return split
+}
+
+// countInterrupted returns the number of waiting tasks of a group that have had a run.
+func countInterrupted(w *graph.Workflow, group int) int {
+	n := 0
+	w.EachWaiting(group, func(_ notch.TaskRef, t notch.WorkflowTask) bool {
+		if t.Latest > 0 {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
 // rankInput describes the tasks of a group to the policy that ranks them.
-func (s *stepper) rankInput(w *graph.Workflow, group int) notch.ReadyTask {
-	route, st := s.routeOf(w), w.Stage(group)
+func (s *stepper) rankInput(g readyGroup) notch.ReadyTask {
+	w := g.workflow
+	route, st := s.routeOf(w), w.Stage(g.group)
 	return notch.ReadyTask{
-		Priority: route.Priority, LongRunning: st.Lasts, Opportunistic: st.Fills, Accepted: w.At,
+		Priority: route.Priority, LongRunning: st.Lasts, Interrupted: g.interrupted, Opportunistic: st.Fills, Accepted: w.At,
 		Due:       w.At.Add(time.Duration(route.Stretch*float64(w.CriticalPath(0))) + route.Target),
-		Remaining: w.CriticalPath(group),
+		Remaining: w.CriticalPath(g.group),
 	}
 }
--- a/policy.go
+++ b/policy.go
@@ -156,6 +156,7 @@
 type ReadyTask struct {
 	Priority      int           // of the route; 0 is the highest
 	LongRunning   bool          // the task runs until its workflow is cancelled
+	Interrupted   bool          // the task is long-running and has had a run
 	Opportunistic bool          // the task uses only processors that are not reserved
 	Accepted      Time          // when its workflow was accepted
 	Due           Time          // when its workflow must be complete to meet its objective
--- a/script/step.go
+++ b/script/step.go
@@ -50,6 +50,20 @@
 	"share-entry":  func() notch.Part { return share.NewEntry(stepDaemon, 1) },
 	"flow":         func() notch.Part { return flow.New(stepDaemon) },
 	"traffic":      func() notch.Part { return traffic.New(0, "north") },
+	"proposals":    func() notch.Part { return proposalLog{} },
+}
+
+// proposalLog is a part that logs each proposed command. It takes the place of consensus, which
+// would replicate the command.
+type proposalLog struct{}
+
+// Step implements [notch.Part].
+func (proposalLog) Step(e notch.Event) (notch.Part, []notch.Effect) {
+	p, ok := e.Body.(notch.Proposal)
+	if !ok {
+		return nil, nil
+	}
+	return nil, []notch.Effect{notch.LogMessage{Text: fmt.Sprintf("proposed %T%+v", p.Command, p.Command)}}
 }
 
 var stepDaemon = notch.Daemon{Name: "a", Address: "a", Domain: "north", Incarnation: 1}
@@ -79,7 +93,7 @@
 
 // StepCommands returns the commands of scripts that drive one state:
 //
-//	parts NAME...            creates the state from parts
+//	parts NAME...            creates the state from parts; the part proposals logs what others propose
 //	pass DURATION            lets time pass
 //	event NAME [JSON]        applies an event
 //	ticks N DURATION         lets N ticks occur, each DURATION after the one before
