Restarts don't wait for the reserve for short tasks

In a pool of which more than 0.8 is reserved, a long-running task waits 2 s before it may take the fifth of an agent that is kept for short tasks.

The wait now counts from the acceptance of the workflow, for first starts as before. flow-restart-reserve failed before: the plan placed nothing.

--- a/flow/plan.go
+++ b/flow/plan.go
@@ -124,7 +124,7 @@
 	p.made.AgentsExamined += v.Len()
 	seed := p.seed + uint64(g.ahead)
 	g.eachTask(func(ref notch.TaskRef, t notch.WorkflowTask) bool {
-		i := scores.Next(p.now.Sub(t.Idle), seed)
+		i := scores.Next(p.now.Sub(g.workflow.At), seed)
 		if i < 0 {
 			v.addShortage(scores)
 			p.made.StagesWithoutAgent++
--- a/policy.go
+++ b/policy.go
@@ -205,7 +205,8 @@
 // during one plan only.
 type AgentScores interface {
 	// Next returns the index of an agent for one more task, or -1 if the task fits on no agent
-	// now. Waited is how long the task has been without a run.
+	// now. Waited is the time since its workflow was accepted, so that a task which lost its
+	// run doesn't begin to wait anew.
 	Next(waited time.Duration, seed uint64) int
 	// Rescore rates agent i again, after a task was placed there.
 	Rescore(i int)
