Start the long-running tasks of older workflows first

Cause: BySlack ranks workflows that have missed their objective last. That serves tasks that end, whose workflows are of no use once they are late. A long-running task is of use whenever it starts, and its workflow has no end to be late for.

The lateness no longer counts for long-running tasks, so that the slack alone orders them. The case in TestOrder failed before: the older workflow ranked behind the newer one.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -104,6 +104,9 @@
 			r.LongRunning, r.Interrupted, r.Priority = true, true, 5
 			r.Accepted, r.Due = now.Add(-time.Minute), now.Add(-50*time.Second)
 		}), with(func(r *notch.ReadyTask) { r.LongRunning = true })},
+		{"a long-running task of an older workflow", with(func(r *notch.ReadyTask) {
+			r.LongRunning, r.Accepted, r.Due = true, now.Add(-time.Minute), now.Add(-50*time.Second)
+		}), with(func(r *notch.ReadyTask) { r.LongRunning = true })},
 		{"a route with a lower priority number", with(func(r *notch.ReadyTask) { r.Priority = 0; r.Due = now.Add(time.Hour) }), base},
 		{"less slack", with(func(r *notch.ReadyTask) { r.Due = now.Add(4 * time.Second) }), base},
 		{"a longer critical path", with(func(r *notch.ReadyTask) { r.Remaining = 2 * time.Second }), base},
--- a/assign/order.go
+++ b/assign/order.go
@@ -5,11 +5,11 @@
 
 // BySlack starts interrupted tasks first, as callers miss what ran before more than what hasn't
 // started yet. The other long-running tasks follow, then the rest. Within each of these classes, it
-// starts those of the routes with the lower priority number first. Among tasks of equal priority, it
-// starts those first whose workflows can still meet their objective, then those whose workflows can
-// still end in time to count as late, then the rest; each of these groups is ordered by slack, least
-// first. With more work than capacity, workflows that have already missed their objective must not
-// delay the others.
+// starts those of the routes with the lower priority number first, and among those of equal priority
+// those with the least slack. Tasks that aren't long-running start first if their workflows can still
+// meet their objective, then those whose workflows can still end in time to count as late, then the
+// rest: with more work than capacity, workflows that have already missed their objective must not
+// delay the others. A long-running task is of use whenever it starts.
 type BySlack struct{}
 
 // The fields of a rank, most significant first: the class of the task, the priority of its route,
@@ -28,7 +28,7 @@
 	const maxSlack = int64(1)<<slackBits - 1
 	slack := t.Due.Add(-t.Remaining).Sub(now)
 	lateness := int64(0)
-	if slack < 0 {
+	if slack < 0 && !t.LongRunning {
 		lateness, slack = 1, slack+(lateFactor-1)*t.Due.Sub(t.Accepted)
 		if slack < 0 {
 			lateness = 2
