--- a/policy.go
+++ b/policy.go
@@ -156,6 +156,7 @@
 type ReadyTask struct {
 	Priority      int           // of the route; 0 is the highest
 	LongRunning   bool          // the task runs until its workflow is cancelled
+	Interrupted   bool          // the task is long-running and has had a run
 	Opportunistic bool          // the task uses only processors that are not reserved
 	Accepted      Time          // when its workflow was accepted
 	Due           Time          // when its workflow must be complete to meet its objective
@@ -209,7 +210,8 @@
 // during one plan only.
 type AgentScores interface {
 	// Next returns the index of an agent for one more task, or -1 if the task fits on no agent
-	// now. Waited is how long the task has been without a run.
+	// now. Waited is the time since its workflow was accepted, so that a task which lost its
+	// run doesn't begin to wait anew.
 	Next(waited time.Duration, seed uint64) int
 	// Rescore rates agent i again, after a task was placed there.
 	Rescore(i int)
