Count the bytes sent to other daemons by kind of message

The metrics now say it: link-bytes-sent-entry-grant and so on.

The changes of the tables that a leader keeps no longer hold the rows of whole earlier tables in memory.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -155,10 +155,9 @@
 			return err
 		}
 	}
-	sent := metrics.GetOrRegisterCounter("link-bytes-sent", d.registry)
 	hello := notch.Hello{Daemon: self, Storage: id.Storage, Cluster: id.Cluster}
 	post := func(b notch.Body) { d.engine.Post(b) }
-	d.link = link.New([]byte(d.settings.LinkKey), hello, post, link.WithCounter(func(n int) { sent.Inc(int64(n)) }))
+	d.link = link.New([]byte(d.settings.LinkKey), hello, post, link.WithCounter(d.sink().countSent))
 	cfg := engine.Config{
 		Self: self, Control: controlState(d.settings, self, id.Storage, id.Cluster), Lanes: laneStates(d.settings),
 		Clock: newClock(), Seed: rand.Uint64(), Link: d.link,
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	notch "tamaracknotch"
+	"tamaracknotch/engine"
 )
 
 // newLogger returns a logger with the level and format of the settings.
@@ -37,6 +38,12 @@
 	metrics.GetOrRegisterCounter(name, s.registry).Inc(delta)
 }
 
+// countSent counts the bytes of a message to another daemon, in all and by the kind of message.
+func (s sink) countSent(m notch.Message, bytes int) {
+	s.Count("link-bytes-sent", int64(bytes))
+	s.Count("link-bytes-sent-"+engine.KindOf(m), int64(bytes))
+}
+
 // Value implements engine.Sink.
 func (s sink) Value(name string, v int64) {
 	s.registry.GetOrRegister(name, newHistogram).(metrics.Histogram).Update(v)
--- a/engine/kind.go
+++ b/engine/kind.go
@@ -82,6 +82,9 @@
 	return strings.Join(out, ", ")
 }
 
+// KindOf returns the kind of a message, the name of its type in kebab case.
+func KindOf(m notch.Message) string { return kebabCase(reflect.TypeOf(m).Name()) }
+
 // kebabCase converts the name of a Go type.
 func kebabCase(name string) string {
 	var out strings.Builder
--- a/link/link.go
+++ b/link/link.go
@@ -49,7 +49,7 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	wg         sync.WaitGroup
-	countBytes func(bytes int) // called with the size of each message sent
+	countBytes func(m notch.Message, bytes int) // called for each message sent, with its size
 
 	mu             sync.Mutex
 	hello          notch.Hello
@@ -72,15 +72,17 @@
 // Option adjusts a new Link.
 type Option func(*Link)
 
-// WithCounter calls count with the size of each message sent.
-func WithCounter(count func(bytes int)) Option { return func(l *Link) { l.countBytes = count } }
+// WithCounter calls count for each message sent, with its size. Calls may overlap.
+func WithCounter(count func(m notch.Message, bytes int)) Option {
+	return func(l *Link) { l.countBytes = count }
+}
 
 // New returns a link that sends hello when a connection opens. All daemons share the
 // key.
 func New(key []byte, hello notch.Hello, post Post, opts ...Option) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Link{
-		key: key, post: post, ctx: ctx, cancel: cancel, hello: hello, countBytes: func(int) {},
+		key: key, post: post, ctx: ctx, cancel: cancel, hello: hello, countBytes: func(notch.Message, int) {},
 		peersByName: map[string]*peer{}, peersByAddress: map[string]*peer{},
 	}
 	for _, opt := range opts {
@@ -290,7 +292,7 @@
 	if err != nil {
 		return err
 	}
-	l.countBytes(len(b))
+	l.countBytes(m, len(b))
 	writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	return conn.Write(writeCtx, websocket.MessageBinary, b)
--- a/tablechange.go
+++ b/tablechange.go
@@ -113,7 +113,7 @@
 	next, inserted := same, same // from[next:] and to[inserted:] aren't yet part of a splice
 	addUpTo := func(i, j int) {
 		if i > next || j > inserted {
-			out = append(out, Splice[T]{At: next, Remove: i - next, Insert: to[inserted:j:j]})
+			out = append(out, Splice[T]{At: next, Remove: i - next, Insert: rowsToInsert(to, inserted, j)})
 		}
 	}
 	for j := same; j < len(to); j++ {
@@ -128,6 +128,15 @@
 	return out
 }
 
+// rowsToInsert returns to[i:j]. It copies a small part of a list, which would keep the whole
+// list in memory.
+func rowsToInsert[T any](to []T, i, j int) []T {
+	if j-i > len(to)/2 {
+		return to[i:j:j]
+	}
+	return slices.Clone(to[i:j])
+}
+
 // spliced returns rows after the splices. ok is false if they don't fit the rows.
 func spliced[T any](rows []T, splices []Splice[T]) (out []T, ok bool) {
 	if len(splices) == 0 {
