--- a/daemon/linkmeter.go
+++ b/daemon/linkmeter.go
@@ -37,7 +37,7 @@
 
 // observe records a message that was sent.
 func (m *linkMeter) observe(s link.Sent) {
-	m.sink.Count(metricLinkBytes, int64(s.Bytes))
+	m.sink.countSent(s.Message, s.Bytes)
 	m.sink.Value(metricLinkWait, s.Wait.Microseconds())
 	m.sink.Value(metricLinkEncode, s.Encode.Microseconds())
 	m.sink.Value(metricLinkWrite, s.Write.Microseconds())
