--- a/link/outbox.go
+++ b/link/outbox.go
@@ -7,8 +7,8 @@
 	notch "tamaracknotch"
 )
 
-// outbox is the queue of messages for one peer. Messages of high priority go first, so that
-// heartbeats don't wait behind calls and results; those of equal priority keep their order.
+// outbox is the queue of messages for one peer. Urgent messages go first, so that heartbeats don't
+// wait behind calls and results; the others keep their order, and so do the urgent ones.
 type outbox struct {
 	ready chan struct{} // holds a token while messages are queued
 
@@ -33,7 +33,7 @@
 		return
 	}
 	queue := &o.normal
-	if notch.PriorityOf(notch.MessageReceived{Message: m}) == notch.HighPriority {
+	if isUrgent(m) {
 		queue = &o.urgent
 	}
 	*queue = append(*queue, queued{m, time.Now()})
@@ -60,6 +60,16 @@
 	return m, true
 }
 
+// isUrgent reports whether a message goes first: those of high priority, but for grants and
+// snapshots, which hold whole tables and would keep calls and results from a slow connection.
+func isUrgent(m notch.Message) bool {
+	switch m.(type) {
+	case notch.EntryGrant, notch.InstallSnapshot:
+		return false
+	}
+	return notch.PriorityOf(notch.MessageReceived{Message: m}) == notch.HighPriority
+}
+
 func (o *outbox) signal() {
 	select {
 	case o.ready <- struct{}{}:
--- a/link/outbox_test.go
+++ b/link/outbox_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"reflect"
 	"testing"
 
 	notch "tamaracknotch"
@@ -34,3 +35,20 @@
 		t.Error("empty outbox: got a message, want none")
 	}
 }
+
+// Guards against callers that get no answer because the leader's grants, each with whole tables,
+// go before the results on a slow connection, one after the other.
+func TestGrantsDontOvertakeResults(t *testing.T) {
+	o := newOutbox()
+	o.put(notch.Outcome{Ticket: 1})
+	o.put(notch.EntryGrant{Seq: 2, Tables: &notch.Tables{}})
+	o.put(notch.InstallSnapshot{Term: 3})
+	o.put(notch.Outcome{Ticket: 4})
+	o.put(notch.AppendReply{Term: 5})
+	for _, want := range []string{"AppendReply", "Outcome", "EntryGrant", "InstallSnapshot", "Outcome"} {
+		m, _ := o.take()
+		if got := reflect.TypeOf(m.message).Name(); got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+}
