Heartbeats that don't wait behind the entries on their way, on a connection of their own

What callers saw: a leader that lost contact with a quorum whose replicas were alive, when versions of a large configuration came in.

Cause: a heartbeat follows the entries sent before it, so it waits until they are written; and an answer waits until the message before it is, for example a document that the replica forwards. With 1,520 routes such a message has 630 KB and takes 0.2 to 0.4 s to write; two of them exceed the election timeout of 0.5 s.

Fix: - While a replica has entries to confirm, the leader also sends a heartbeat that follows the last confirmed entry. A follower can answer it whatever is on its way. The heartbeat after the entries stays, as it shows whether they were lost. - These heartbeats, the answers and votes go over a second connection, dialled when a replica first needs it and gone with the session. While it isn't there they take the first one.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -186,10 +186,15 @@
 
 // sendHeartbeat sends a heartbeat to replica i, with entries if it lacks some. While the
 // replica is being probed the heartbeat is empty, so that a replica far behind doesn't
-// receive the same entries repeatedly.
+// receive the same entries repeatedly. A heartbeat waits behind the messages before it, or its
+// follower couldn't tell whether they were lost; so another one goes ahead of entries that aren't
+// confirmed.
 func (s *stepper) sendHeartbeat(i int) {
 	pr := s.progress[i]
 	if !pr.probing || pr.match < s.log.base {
+		if len(pr.unconfirmed) > 0 && pr.match >= s.log.base {
+			s.sendContact(pr)
+		}
 		s.sendAppend(i)
 		return
 	}
@@ -197,9 +202,14 @@
 		s.probe(i)
 		return
 	}
+	s.sendContact(pr)
+}
+
+// sendContact sends a heartbeat that the replica can answer whatever else is on its way to it.
+func (s *stepper) sendContact(pr progress) {
 	s.send(pr.replica.Name, notch.AppendRequest{
 		Term: s.hardState.Term, Leader: s.self.Name, PrevIndex: pr.match, PrevTerm: s.log.term(pr.match),
-		Commit: min(s.commitIndex, pr.match), SentAt: s.now,
+		Commit: min(s.commitIndex, pr.match), SentAt: s.now, Contact: true,
 	})
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -2,7 +2,8 @@
 //
 // Each daemon dials every daemon that it knows. It sends messages only on the
 // connections that it dialled, and reads messages only from the connections that it
-// accepted. When a connection opens, each side sends a Hello and proves by an HMAC
+// accepted. Replicas open a second connection to one another for the messages by which they
+// keep contact, so that none of them waits until a large message is written. When a connection opens, each side sends a Hello and proves by an HMAC
 // over two nonces that it holds the shared key.
 package link
 
@@ -66,7 +67,9 @@
 	redial  chan struct{} // ends the wait before the next dial
 
 	incarnation uint64             // of the daemon at the other end of the session
+	session     context.Context    // ends with the session; nil if there is none
 	endSession  context.CancelFunc // ends the session; nil if there is none
+	express     *express           // of the session; nil until it is needed
 }
 
 // Option adjusts a new Link.
@@ -108,6 +111,12 @@
 	if p == nil {
 		return
 	}
+	if notch.KeepsContact(m) {
+		if o := l.expressOutbox(p); o != nil {
+			o.put(m)
+			return
+		}
+	}
 	// If the outbox is full, the peer is slow or unreachable. The message is dropped then; the
 	// parts send important messages again.
 	p.outbox.put(m)
@@ -178,21 +187,21 @@
 	name := hello.Daemon.Name
 	l.mu.Lock()
 	l.peersByName[name] = p
-	p.incarnation, p.endSession = hello.Daemon.Incarnation, cancel
+	p.incarnation, p.session, p.endSession = hello.Daemon.Incarnation, ctx, cancel
 	l.mu.Unlock()
 	defer l.sessionEnded(p)
 	l.post(notch.PeerUp{Hello: hello})
 	// The peer sends no messages on this connection; CloseRead handles pongs and the
 	// close frame.
 	ctx = conn.CloseRead(ctx)
-	l.writeLoop(ctx, conn, p)
+	l.writeLoop(ctx, conn, p.address, p.outbox)
 	return name
 }
 
 func (l *Link) sessionEnded(p *peer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p.endSession = nil
+	p.session, p.endSession, p.express = nil, nil, nil
 }
 
 // onAccepted is called when daemon d has dialled this daemon. A session with an earlier
@@ -256,9 +265,9 @@
 	return conn, hello, nil
 }
 
-// writeLoop sends the queued messages, and pings at intervals, until an error occurs
+// writeLoop sends the messages of an outbox, and pings at intervals, until an error occurs
 // or ctx ends.
-func (l *Link) writeLoop(ctx context.Context, conn *websocket.Conn, p *peer) {
+func (l *Link) writeLoop(ctx context.Context, conn *websocket.Conn, to string, o *outbox) {
 	ping := time.NewTicker(pingInterval)
 	defer ping.Stop()
 	for {
@@ -266,8 +275,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.outbox.ready:
-			err = l.writeNext(ctx, conn, p)
+		case <-o.ready:
+			err = l.writeNext(ctx, conn, to, o)
 		case <-ping.C:
 			pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 			err = conn.Ping(pingCtx)
@@ -279,9 +288,9 @@
 	}
 }
 
-// writeNext encodes and writes the next message of p's outbox, and reports how long that took.
-func (l *Link) writeNext(ctx context.Context, conn *websocket.Conn, p *peer) error {
-	m, ok := p.outbox.take()
+// writeNext encodes and writes the next message of an outbox, and reports how long that took.
+func (l *Link) writeNext(ctx context.Context, conn *websocket.Conn, to string, o *outbox) error {
+	m, ok := o.take()
 	if !ok {
 		return nil
 	}
@@ -297,8 +306,8 @@
 		return err
 	}
 	l.observe(Sent{
-		To: p.address, Message: m.message, Wait: taken.Sub(m.at), Encode: encoded.Sub(taken), Write: time.Since(encoded),
-		Bytes: len(b), Queued: p.outbox.len(),
+		To: to, Message: m.message, Wait: taken.Sub(m.at), Encode: encoded.Sub(taken), Write: time.Since(encoded),
+		Bytes: len(b), Queued: o.len(),
 	})
 	return nil
 }
--- a/message.go
+++ b/message.go
@@ -35,6 +35,7 @@
 	Commit    uint64 // index up to which the log is committed
 	SentAt    Time   // leader's clock; the reply echoes it
 	Entries   []LogEntry
+	Contact   bool // a heartbeat that follows an entry which the receiver has confirmed
 }
 
 // AppendReply answers AppendRequest and InstallSnapshot. If OK is set, Match is
--- a/priority.go
+++ b/priority.go
@@ -35,3 +35,15 @@
 	}
 	return NormalPriority
 }
+
+// KeepsContact reports whether a message is one of those by which replicas tell that they are
+// there. They are small, and may overtake all others.
+func KeepsContact(m Message) bool {
+	switch m := m.(type) {
+	case VoteRequest, VoteReply, AppendReply:
+		return true
+	case AppendRequest:
+		return m.Contact
+	}
+	return false
+}
