link: messages don't wait for the answer to a ping

What callers saw: answers that were late by a quarter of a second and more, and heartbeats as well, without anything large on the link.

Cause: the goroutine that writes the messages to a peer also sent the ping, each 2 s, and waited for its answer, up to 2 s. A peer short of processor time answers late, and what was to be sent to it waited meanwhile.

Fix: the ping is sent and awaited beside the writing, one at a time. A peer that doesn't answer in time still ends the session.

TestMessagesDontWaitForPing fails on the code before. The proxy of TestContactDoesNotWaitForLargeMessage can now stall either direction; that test is otherwise unchanged.

--- a/link/express_test.go
+++ b/link/express_test.go
@@ -10,20 +10,21 @@
 	notch "tamaracknotch"
 )
 
-// stallingProxy forwards connections to an address. While the first one is stalled, it reads no
-// more data from the dialler.
+// stallingProxy forwards connections to an address. While the first one is stalled, it forwards
+// no more data of one side.
 type stallingProxy struct {
 	net.Listener
-	stall chan struct{} // closed: the first connection stalls
-	end   chan struct{} // closed: the stall ends
+	stalled side          // the side whose data stalls
+	stall   chan struct{} // closed: the first connection stalls
+	end     chan struct{} // closed: the stall ends
 }
 
-func newStallingProxy(t *testing.T, to string) *stallingProxy {
+func newStallingProxy(t *testing.T, to string, stalled side) *stallingProxy {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &stallingProxy{Listener: listener, stall: make(chan struct{}), end: make(chan struct{})}
+	p := &stallingProxy{Listener: listener, stalled: stalled, stall: make(chan struct{}), end: make(chan struct{})}
 	go func() {
 		for first := true; ; first = false {
 			conn, err := listener.Accept()
@@ -43,17 +44,21 @@
 		return
 	}
 	defer target.Close()
-	go io.Copy(conn, target)
+	go p.copy(conn, target, mayStall && p.stalled == acceptor)
+	p.copy(target, conn, mayStall && p.stalled == dialler)
+}
+
+func (p *stallingProxy) copy(to io.Writer, from io.Reader, mayStall bool) {
 	b := make([]byte, 1024)
 	for {
-		n, err := conn.Read(b)
+		n, err := from.Read(b)
 		if err != nil {
 			return
 		}
 		if mayStall && isClosed(p.stall) {
 			<-p.end
 		}
-		target.Write(b[:n])
+		to.Write(b[:n])
 	}
 }
 
@@ -66,42 +71,56 @@
 	}
 }
 
-// Guards against replicas that lose contact while a large message is written: it took 400 ms for a
-// document of 630 KB, and the answers to heartbeats waited for its end.
-func TestContactDoesNotWaitForLargeMessage(t *testing.T) {
+// proxiedLink is a link from the daemon a to the daemon b through a proxy.
+type proxiedLink struct {
+	*stallingProxy
+	sender   *Link
+	received chan notch.Message // at b
+}
+
+// newProxiedLink returns a link that is established, and stalls in one direction from then on.
+func newProxiedLink(t *testing.T, stalled side) proxiedLink {
 	received := make(chan notch.Message, 100)
 	receiver := New([]byte("k"), notch.Hello{Daemon: notch.Daemon{Name: "b"}}, func(b notch.Body) {
 		if m, ok := b.(notch.MessageReceived); ok {
 			received <- m.Message
 		}
 	})
-	defer receiver.Close()
+	t.Cleanup(func() { receiver.Close() })
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := &http.Server{Handler: receiver.Handler()}
-	defer server.Close()
+	t.Cleanup(func() { server.Close() })
 	go server.Serve(listener)
-	proxy := newStallingProxy(t, listener.Addr().String())
-	defer proxy.Close()
+	proxy := newStallingProxy(t, listener.Addr().String(), stalled)
+	t.Cleanup(func() { proxy.Close() })
 	linked := make(chan struct{}, 1)
 	sender := New([]byte("k"), notch.Hello{Daemon: notch.Daemon{Name: "a"}}, func(b notch.Body) {
 		if _, ok := b.(notch.PeerUp); ok {
 			linked <- struct{}{}
 		}
 	})
-	defer sender.Close()
+	t.Cleanup(func() { sender.Close() })
 	sender.Connect(notch.Daemon{Name: "b", Address: proxy.Addr().String()})
 	<-linked
 	close(proxy.stall)
-	defer close(proxy.end)
-	sender.Send("b", notch.Outcome{Result: notch.TablesResult{Tables: notch.Tables{Document: string(make([]byte, 32<<20))}}})
+	t.Cleanup(func() { close(proxy.end) })
+	return proxiedLink{stallingProxy: proxy, sender: sender, received: received}
+}
+
+// Guards against replicas that lose contact while a large message is written: it took 400 ms for a
+// document of 630 KB, and the answers to heartbeats waited for its end.
+func TestContactDoesNotWaitForLargeMessage(t *testing.T) {
+	t.Parallel()
+	l := newProxiedLink(t, dialler)
+	l.sender.Send("b", notch.Outcome{Result: notch.TablesResult{Tables: notch.Tables{Document: string(make([]byte, 32<<20))}}})
 	// The first answers are sent before the second connection is there, and wait.
 	for deadline := time.After(writeTimeout - time.Second); ; {
-		sender.Send("b", notch.AppendReply{Term: 2, OK: true})
+		l.sender.Send("b", notch.AppendReply{Term: 2, OK: true})
 		select {
-		case m := <-received:
+		case m := <-l.received:
 			if got, ok := m.(notch.AppendReply); !ok || got.Term != 2 {
 				t.Errorf("got %+v, want the answer", m)
 			}
@@ -112,3 +131,19 @@
 		}
 	}
 }
+
+// Guards against messages that wait for the answer to a ping, which a busy peer sends late.
+func TestMessagesDontWaitForPing(t *testing.T) {
+	t.Parallel()
+	l := newProxiedLink(t, acceptor)
+	time.Sleep(pingInterval + pingTimeout/8)
+	l.sender.Send("b", notch.Outcome{Ticket: 7, Result: notch.Done{}})
+	select {
+	case m := <-l.received:
+		if got, ok := m.(notch.Outcome); !ok || got.Ticket != 7 {
+			t.Errorf("got %+v, want the result", m)
+		}
+	case <-time.After(pingTimeout / 2):
+		t.Error("got no message, want one while the answer to the ping is missing")
+	}
+}
--- a/link/link.go
+++ b/link/link.go
@@ -266,10 +266,12 @@
 }
 
 // writeLoop sends the messages of an outbox, and pings at intervals, until an error occurs
-// or ctx ends.
+// or ctx ends. Messages don't wait for the answer to a ping.
 func (l *Link) writeLoop(ctx context.Context, conn *websocket.Conn, to string, o *outbox) {
-	ping := time.NewTicker(pingInterval)
-	defer ping.Stop()
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	pinged := make(chan error, 1)
+	pinging := false
 	for {
 		var err error
 		select {
@@ -277,10 +279,13 @@
 			return
 		case <-o.ready:
 			err = l.writeNext(ctx, conn, to, o)
-		case <-ping.C:
-			pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-			err = conn.Ping(pingCtx)
-			cancel()
+		case <-ticker.C:
+			if !pinging {
+				pinging = true
+				go func() { pinged <- ping(ctx, conn) }()
+			}
+		case err = <-pinged:
+			pinging = false
 		}
 		if err != nil {
 			return
@@ -288,6 +293,13 @@
 	}
 }
 
+// ping sends a ping and waits for the answer.
+func ping(ctx context.Context, conn *websocket.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return conn.Ping(ctx)
+}
+
 // writeNext encodes and writes the next message of an outbox, and reports how long that took.
 func (l *Link) writeNext(ctx context.Context, conn *websocket.Conn, to string, o *outbox) error {
 	m, ok := o.take()
