flow: let a new leader renew leases with its first order

Runs ended with their agents' leases after a change of the leader, although the new leader reached the agents in time. Its first order to an agent granted no lease, as it didn't know the agent's clock; the lease followed the answer. The answer waited in the control loop of a leader that has 350 first answers to reduce (200 to 350 ms), or was lost, and then half a second to 1.8 s passed.

An agent's clock is now committed with the ends that it lists, and each 30 s for an agent that lists runs and no ends. Every replica knows from that the least that the clock shows by now, and a new leader bases the lease on it that its first order grants. A lease is never longer than before: the reading counts as taken when the replica applied it, and as slow by 2%.

--- a/command.go
+++ b/command.go
@@ -144,9 +144,10 @@
 // EndRuns records the ends of runs on one incarnation of an agent. Once it is
 // committed, the agent may forget the ends up to position UpTo of its list.
 type EndRuns struct {
-	Life AgentIncarnation
-	Ends []RunEnd
-	UpTo uint64
+	Life  AgentIncarnation
+	Ends  []RunEnd
+	UpTo  uint64
+	Clock int64 // the agent's clock in ms when it listed the ends; 0: not known
 }
 
 func (Noop) command()             {}
--- a/fake/agent.go
+++ b/fake/agent.go
@@ -11,13 +11,14 @@
 // Agent simulates a worker that takes orders.
 type Agent struct {
 	notch.Agent
-	Up        bool
-	CutOff    bool                                  // all its calls and answers are lost
-	LateShare float64                               // fraction of the orders that get no answer and are carried out late
-	Broken    bool                                  // every run fails
-	Drift     float64                               // relative error of its clock
-	RunTime   func(ref notch.TaskRef) time.Duration // duration of a run
-	Report    func(ref notch.RunRef) notch.LiveRun  // what it reports about a run in progress; nil: half of it is done
+	Up          bool
+	CutOff      bool                                  // all its calls and answers are lost
+	AnswersLost bool                                  // it carries out orders, and all its answers are lost
+	LateShare   float64                               // fraction of the orders that get no answer and are carried out late
+	Broken      bool                                  // every run fails
+	Drift       float64                               // relative error of its clock
+	RunTime     func(ref notch.TaskRef) time.Duration // duration of a run
+	Report      func(ref notch.RunRef) notch.LiveRun  // what it reports about a run in progress; nil: half of it is done
 
 	generation      int           // grows at every start and kill; timers of an earlier one do nothing
 	startedAt       time.Duration // when this incarnation started
@@ -152,7 +153,7 @@
 	delay := time.Duration(0)
 	reply := func(ans notch.AgentAnswer) {
 		s.After(agentNetworkDelay, func() {
-			if !a.CutOff {
+			if !a.CutOff && !a.AnswersLost {
 				answer(ans)
 			}
 		})
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -7,6 +7,7 @@
 
 	notch "tamaracknotch"
 	"tamaracknotch/graph"
+	"tamaracknotch/lease"
 )
 
 // The limits of a workflow.
@@ -31,6 +32,9 @@
 		s.placeRuns(c, e.At)
 	case notch.EndRuns:
 		s.endRuns(c, e.At)
+		if len(c.Ends) == 0 {
+			return // only the agent's clock was committed
+		}
 	default:
 		return
 	}
@@ -158,6 +162,9 @@
 	for _, e := range c.Ends {
 		s.endRun(c.Life, e, at)
 	}
+	if c.Clock != 0 {
+		s.agentClocks = s.agentClocks.Set(c.Life.Agent, agentClock{c.Life, lease.NewAgentClock(c.Clock, s.now)})
+	}
 	s.endsCommitted(c)
 }
 
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -87,6 +87,9 @@
 	loads         *immutable.Map[string, agentLoad]             // by agent
 	ended         *immutable.List[string]                       // workflows in the order of their end
 
+	// Learned from the replicated log, with the times at which this replica applied it:
+	agentClocks *immutable.Map[string, agentClock] // by agent
+
 	// Known to the leader only:
 	leadership           notch.Leadership
 	incarnations         uint64 // number of agent incarnations met in this term
@@ -130,6 +133,7 @@
 	p.queuedByRoute = immutable.NewMap[string, int](nil)
 	p.loads = immutable.NewMap[string, agentLoad](nil)
 	p.ended = immutable.NewList[string]()
+	p.agentClocks = immutable.NewMap[string, agentClock](nil)
 	return p
 }
 
--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -43,7 +43,8 @@
 const formerLeaderMargin = 2 * time.Second
 
 // leadershipChanged handles a change of this replica's leadership. A new leader contacts every
-// agent before it sends other orders.
+// agent before it sends other orders. It renews the leases at once where it knows the agent's
+// clock: they may be about to expire, and the answer may be slow or lost.
 func (s *stepper) leadershipChanged(l notch.Leadership) {
 	started := l.Leading && l.Ready != 0 && (s.leadership.Ready == 0 || s.leadership.Term != l.Term)
 	if !l.Leading && s.leadership.Leading {
@@ -58,13 +59,24 @@
 	for it := s.agents.Iterator(); !it.Done(); {
 		_, a, _ := it.Next()
 		if load, _ := s.loads.Get(a.ID); !a.Left || len(load.runs) > 0 {
-			s.sessions = s.sessions.Set(a.ID, agentSession{incarnation: a.Incarnation(), token: s.token(), lease: lease.New(formerLeasesEnd)})
+			s.sessions = s.sessions.Set(a.ID, agentSession{incarnation: a.Incarnation(), token: s.token(), lease: s.formerLease(a, formerLeasesEnd)})
 			s.renewLease(a.ID)
 		}
 	}
 	s.needsPlan = true
 }
 
+// formerLease returns the lease of an agent that former leaders may have granted leases to. The
+// agent's clock is known if it was read for the log.
+func (s *stepper) formerLease(a notch.Agent, formerLeasesEnd notch.Time) lease.AgentLease {
+	l := lease.New(formerLeasesEnd)
+	if c, ok := s.agentClocks.Get(a.ID); ok && c.incarnation == a.Incarnation() {
+		// An old reading must not become a longer lease, whichever way the clock drifts.
+		l = l.WithClock(c.Min(s.now), s.now)
+	}
+	return l
+}
+
 // formerLeasesEnd returns when all leases have expired that former leaders granted up to the
 // given time.
 func (s *stepper) formerLeasesEnd(at notch.Time) notch.Time {
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -54,16 +54,31 @@
 	case len(ends) > 0:
 		session.proposedUpTo = upTo
 		session.nextRenewalAt = s.now.Add(s.timing.ReproposeInterval)
-		s.propose(notch.EndRuns{Life: session.incarnation, Ends: ends, UpTo: upTo})
+		s.propose(notch.EndRuns{Life: session.incarnation, Ends: ends, UpTo: upTo, Clock: b.Answer.Clock})
 	case upTo > session.committedUpTo:
 		session.proposedUpTo, session.committedUpTo = upTo, upTo
 	}
 	s.sessions = s.sessions.Set(a.ID, session)
 	if len(ends) == 0 {
+		s.commitClock(session, b.Answer)
 		s.renewLease(a.ID)
 	}
 }
 
+// maxClockReadingAge limits the age of the committed reading of the clock of an agent with runs.
+// At this age, a lease that is based on the reading may be shorter by 4%, twice MaxClockDrift.
+const maxClockReadingAge = 30 * time.Second
+
+// commitClock commits the clock of an agent with runs, if the latest reading is too old or that of
+// another incarnation, so that a new leader can renew the lease at once.
+func (s *stepper) commitClock(session agentSession, answer notch.AgentAnswer) {
+	c, _ := s.agentClocks.Get(session.incarnation.Agent)
+	if len(answer.Live) == 0 || answer.Clock == 0 || c.incarnation == session.incarnation && s.now.Sub(c.ReadAt()) < maxClockReadingAge {
+		return
+	}
+	s.propose(notch.EndRuns{Life: session.incarnation, UpTo: session.committedUpTo, Clock: answer.Clock})
+}
+
 // logLapsedRuns logs how many runs ended because an agent's lease expired, and what this leader
 // had done for the lease. Clock is the agent's clock when it answered, in ms.
 func (s *stepper) logLapsedRuns(session agentSession, ends []notch.RunEnd, clock int64) {
--- a/flow/session.go
+++ b/flow/session.go
@@ -27,6 +27,12 @@
 	leftAt           notch.Time // when its leave message was committed; zero: it hasn't left
 }
 
+// agentClock is a reading of the clock of one incarnation of an agent.
+type agentClock struct {
+	incarnation notch.AgentIncarnation
+	lease.AgentClock
+}
+
 // runOrders records the state of the orders about one run.
 type runOrders struct {
 	startOutcome    notch.AgentAnswerKind // empty: the start is not answered yet
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -16,10 +16,31 @@
 // a limited resolution.
 const expiryMargin = 150 * time.Millisecond
 
+// AgentClock is a reading of an agent's clock. The zero value is no reading.
+type AgentClock struct {
+	reading int64      // lower bound of the agent's time at readAt, in ms
+	readAt  notch.Time // zero: the clock was never read
+}
+
+// NewAgentClock returns a reading in ms that was received at the given time.
+func NewAgentClock(reading int64, receivedAt notch.Time) AgentClock {
+	return AgentClock{reading: reading, readAt: receivedAt}
+}
+
+// Known reports whether the clock has been read.
+func (c AgentClock) Known() bool { return c.readAt != 0 }
+
+// ReadAt returns when the reading was received.
+func (c AgentClock) ReadAt() notch.Time { return c.readAt }
+
+// Min returns the time in ms that the agent's clock has certainly reached.
+func (c AgentClock) Min(now notch.Time) int64 {
+	return c.reading + int64(float64(now.Sub(c.readAt))*(1-MaxClockDrift)/float64(time.Millisecond))
+}
+
 // AgentLease records what one leader has learned about an agent's clock and its lease.
 type AgentLease struct {
-	agentClock      int64      // lower bound of the agent's time at clockReadAt, in ms
-	clockReadAt     notch.Time // zero: the clock was never read
+	clock           AgentClock
 	grantedUntil    int64      // latest deadline sent, by the agent's clock in ms; 0: none
 	formerLeasesEnd notch.Time // the leases that former leaders granted end by then
 }
@@ -31,15 +52,15 @@
 }
 
 // WithClock returns the state after an answer that contained the agent's clock in ms.
-func (l AgentLease) WithClock(clock int64, receivedAt notch.Time) AgentLease {
-	if l.clockReadAt == 0 || clock > l.minAgentClock(receivedAt) {
-		l.agentClock, l.clockReadAt = clock, receivedAt
+func (l AgentLease) WithClock(reading int64, receivedAt notch.Time) AgentLease {
+	if !l.clock.Known() || reading > l.clock.Min(receivedAt) {
+		l.clock = NewAgentClock(reading, receivedAt)
 	}
 	return l
 }
 
 // ClockKnown reports whether the agent's clock has been read.
-func (l AgentLease) ClockKnown() bool { return l.clockReadAt != 0 }
+func (l AgentLease) ClockKnown() bool { return l.clock.Known() }
 
 // Deadline returns the agent's time in ms at which a lease of d from now ends, or 0 if its
 // clock isn't known.
@@ -47,7 +68,7 @@
 	if !l.ClockKnown() {
 		return 0
 	}
-	return l.agentClock + now.Sub(l.clockReadAt).Milliseconds() + d.Milliseconds()
+	return l.clock.reading + now.Sub(l.clock.readAt).Milliseconds() + d.Milliseconds()
 }
 
 // WithGrant returns the state after a lease up to deadline was sent.
@@ -60,11 +81,6 @@
 // it, or 0 if none was.
 func (l AgentLease) GrantedUntil() int64 { return l.grantedUntil }
 
-// minAgentClock returns the time in ms that the agent's clock has certainly reached.
-func (l AgentLease) minAgentClock(now notch.Time) int64 {
-	return l.agentClock + int64(float64(now.Sub(l.clockReadAt))*(1-MaxClockDrift)/float64(time.Millisecond))
-}
-
 // Expired reports whether every lease of the agent has certainly ended.
 func (l AgentLease) Expired(now notch.Time) bool {
 	if now.Before(l.formerLeasesEnd) {
@@ -73,5 +89,5 @@
 	if !l.ClockKnown() {
 		return l.grantedUntil == 0
 	}
-	return l.minAgentClock(now) > l.grantedUntil+expiryMargin.Milliseconds()
+	return l.clock.Min(now) > l.grantedUntil+expiryMargin.Milliseconds()
 }
