link: split link.go into dialling, accepting and writing

link.go had 411 lines on four topics. The loops that dial and keep a session are in dial.go, the accepted connections in accept.go, the loop that writes an outbox in write.go; link.go keeps the link, its options and its end. Code is moved as it was; one line of the package comment is wrapped.

--- a/link/link.go
+++ b/link/link.go
@@ -3,24 +3,18 @@
 // Each daemon dials every daemon that it knows. It sends messages only on the
 // connections that it dialled, and reads messages only from the connections that it
 // accepted. Replicas open a second connection to one another for the messages by which they
-// keep contact, so that none of them waits until a large message is written. When a connection opens, each side sends a Hello and proves by an HMAC
-// over two nonces that it holds the shared key.
+// keep contact, so that none of them waits until a large message is written. When a
+// connection opens, each side sends a Hello and proves by an HMAC over two nonces that it
+// holds the shared key.
 package link
 
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/coder/websocket"
-	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
-
 	notch "tamaracknotch"
-	"tamaracknotch/wire"
 )
 
 // Path is the HTTP path at which a daemon accepts connections of other daemons.
@@ -151,221 +145,6 @@
 	l.wg.Go(func() { l.dialLoop(ctx, p) })
 }
 
-// dialLoop keeps a session with p until ctx ends. It waits between dials and doubles
-// the wait up to maxBackoff.
-func (l *Link) dialLoop(ctx context.Context, p *peer) {
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		dialledAt := time.Now()
-		name := l.runSession(ctx, p)
-		if name != "" {
-			l.post(notch.PeerDown{Name: name})
-		}
-		if time.Since(dialledAt) > maxBackoff {
-			backoff = minBackoff
-		}
-		select {
-		case <-ctx.Done():
-		case <-p.redial:
-			backoff = minBackoff
-		case <-time.After(backoff):
-		}
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
-
-// runSession dials p and sends messages until the connection ends. It returns the
-// peer's name; empty if no connection was established.
-func (l *Link) runSession(ctx context.Context, p *peer) string {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	conn, hello, err := l.dial(ctx, p.address)
-	if err != nil {
-		return ""
-	}
-	defer conn.CloseNow()
-	name := hello.Daemon.Name
-	l.mu.Lock()
-	l.peersByName[name] = p
-	p.incarnation, p.session, p.endSession = hello.Daemon.Incarnation, ctx, cancel
-	l.mu.Unlock()
-	defer l.sessionEnded(p)
-	l.post(notch.PeerUp{Hello: hello})
-	// The peer sends no messages on this connection; CloseRead handles pongs and the
-	// close frame.
-	ctx = conn.CloseRead(ctx)
-	l.writeLoop(ctx, conn, p.address, p.outbox)
-	return name
-}
-
-func (l *Link) sessionEnded(p *peer) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p.session, p.endSession, p.express = nil, nil, nil
-}
-
-// onAccepted is called when daemon d has dialled this daemon. A session with an earlier
-// process of d ends at once, as that process is gone even if the connection hasn't
-// failed yet. If there is no session, the wait before the next dial ends, as d can be
-// reached now.
-func (l *Link) onAccepted(d notch.Daemon) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.peersByName[d.Name]
-	if p == nil {
-		return
-	}
-	if p.endSession != nil && p.incarnation < d.Incarnation {
-		p.endSession()
-	}
-	select {
-	case p.redial <- struct{}{}:
-	default:
-	}
-}
-
-// client dials with a bound on the time that sent data may stay unacknowledged,
-// because a host that has lost its power doesn't close its connections.
-var client = &http.Client{Transport: &http.Transport{
-	DialContext: (&net.Dialer{
-		Timeout: dialTimeout, Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-	}).DialContext,
-}}
-
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	controlErr := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-	})
-	if controlErr != nil {
-		return controlErr
-	}
-	return err
-}
-
-// dial opens a connection and carries out the handshake. It returns the other side's
-// hello.
-func (l *Link) dial(ctx context.Context, address string) (*websocket.Conn, notch.Hello, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+address+Path, &websocket.DialOptions{
-		HTTPClient: client, CompressionMode: websocket.CompressionDisabled,
-	})
-	if err != nil {
-		return nil, notch.Hello{}, errors.Wrap(err, "dial")
-	}
-	conn.SetReadLimit(maxHandshakeSize)
-	hello, err := l.handshake(dialCtx, conn, dialler)
-	if err != nil {
-		conn.CloseNow()
-		return nil, notch.Hello{}, err
-	}
-	return conn, hello, nil
-}
-
-// writeLoop sends the messages of an outbox, and pings at intervals, until an error occurs
-// or ctx ends. Messages don't wait for the answer to a ping.
-func (l *Link) writeLoop(ctx context.Context, conn *websocket.Conn, to string, o *outbox) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	pinged := make(chan error, 1)
-	pinging := false
-	for {
-		var err error
-		select {
-		case <-ctx.Done():
-			return
-		case <-o.ready:
-			err = l.writeNext(ctx, conn, to, o)
-		case <-ticker.C:
-			if !pinging {
-				pinging = true
-				go func() { pinged <- ping(ctx, conn) }()
-			}
-		case err = <-pinged:
-			pinging = false
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
-// ping sends a ping and waits for the answer.
-func ping(ctx context.Context, conn *websocket.Conn) error {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	return conn.Ping(ctx)
-}
-
-// writeNext encodes and writes the next message of an outbox, and reports how long that took.
-func (l *Link) writeNext(ctx context.Context, conn *websocket.Conn, to string, o *outbox) error {
-	m, ok := o.take()
-	if !ok {
-		return nil
-	}
-	taken := time.Now()
-	b, err := wire.EncodeMessage(m.message)
-	if err != nil {
-		return err
-	}
-	encoded := time.Now()
-	writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	if err := conn.Write(writeCtx, websocket.MessageBinary, b); err != nil {
-		return err
-	}
-	l.observe(Sent{
-		To: to, Message: m.message, Wait: taken.Sub(m.at), Encode: encoded.Sub(taken), Write: time.Since(encoded),
-		Bytes: len(b), Queued: o.len(),
-	})
-	return nil
-}
-
-// Handler returns the HTTP handler that accepts connections of other daemons.
-func (l *Link) Handler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
-		if err != nil {
-			return
-		}
-		defer conn.CloseNow()
-		l.serve(conn)
-	})
-}
-
-// serve carries out the handshake on an accepted connection and posts the messages
-// that arrive.
-func (l *Link) serve(conn *websocket.Conn) {
-	handshakeCtx, cancel := context.WithTimeout(l.ctx, dialTimeout)
-	conn.SetReadLimit(maxHandshakeSize)
-	hello, err := l.handshake(handshakeCtx, conn, acceptor)
-	cancel()
-	if err != nil {
-		conn.Close(websocket.StatusPolicyViolation, err.Error())
-		return
-	}
-	conn.SetReadLimit(maxMessageSize)
-	// Messages to the peer need a connection that this daemon dials. The peer is up
-	// when that connection is established.
-	l.Connect(hello.Daemon)
-	l.onAccepted(hello.Daemon)
-	for {
-		_, b, err := conn.Read(l.ctx)
-		if err != nil {
-			return
-		}
-		m, err := wire.DecodeMessage(b)
-		if err != nil {
-			conn.Close(websocket.StatusUnsupportedData, "message not understood")
-			return
-		}
-		l.post(notch.MessageReceived{From: hello.Daemon.Name, Message: m})
-	}
-}
-
 // Close implements [notch.Link]. It waits up to drainTimeout until the queued
 // messages are sent.
 func (l *Link) Close() error {
