link: name the second connection of replicas after its purpose

"express" was a word of its own for the connection that carries the messages by which replicas keep contact; the message has a field Contact and the root package a function KeepsContact. The type is contactConn now, its outbox contactOutbox, the file contact.go.

--- a/link/express_test.go
+++ b/link/contact_test.go
@@ -116,7 +116,7 @@
 	t.Parallel()
 	l := newProxiedLink(t, dialler)
 	l.sender.Send("b", notch.Outcome{Result: notch.TablesResult{Tables: notch.Tables{Document: string(make([]byte, 32<<20))}}})
-	// The first answers are sent before the second connection is there, and wait.
+	// The first answers are sent before the contact connection is up, and wait.
 	for deadline := time.After(writeTimeout - time.Second); ; {
 		l.sender.Send("b", notch.AppendReply{Term: 2, OK: true})
 		select {
--- a/link/dial.go
+++ b/link/dial.go
@@ -64,7 +64,7 @@
 func (l *Link) sessionEnded(p *peer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p.session, p.endSession, p.express = nil, nil, nil
+	p.session, p.endSession, p.contact = nil, nil, nil
 }
 
 // client dials with a bound on the time that sent data may stay unacknowledged,
--- a/link/link.go
+++ b/link/link.go
@@ -63,7 +63,7 @@
 	incarnation uint64             // of the daemon at the other end of the session
 	session     context.Context    // ends with the session; nil if there is none
 	endSession  context.CancelFunc // ends the session; nil if there is none
-	express     *express           // of the session; nil until it is needed
+	contact     *contactConn       // of the session; nil until it is needed
 }
 
 // Option adjusts a new Link.
@@ -106,7 +106,7 @@
 		return
 	}
 	if notch.KeepsContact(m) {
-		if o := l.expressOutbox(p); o != nil {
+		if o := l.contactOutbox(p); o != nil {
 			o.put(m)
 			return
 		}
