flow: tests say which failure they guard against, without an issue number

The comments of eight tests ended with the number of the issue, which a reader of the code can't look up there. The failure stands in the sentence before it.

--- a/flow/plan_test.go
+++ b/flow/plan_test.go
@@ -71,8 +71,7 @@
 	return nil
 }
 
-// TestPlanScoresAgentsOncePerGroup guards against plans whose cost grows with tasks times agents
-// (issue 20).
+// TestPlanScoresAgentsOncePerGroup guards against plans whose cost grows with tasks times agents.
 func TestPlanScoresAgentsOncePerGroup(t *testing.T) {
 	const agents, tasks = 40, 200
 	count := &countingPolicy{}
@@ -87,7 +86,7 @@
 }
 
 // TestPlanEstimatesHeadroomOnDemand guards against plans that estimate the headroom of all service
-// tasks although no group that waits depends on it (issue 20).
+// tasks although no group that waits depends on it.
 func TestPlanEstimatesHeadroomOnDemand(t *testing.T) {
 	const agents = 5
 	count := &countingPolicy{}
@@ -117,7 +116,7 @@
 }
 
 // TestPlanLooksUpCoefficientsOncePerGroup guards against plans that look up the interference of all
-// tasks on an agent for each group that waits (issue 20).
+// tasks on an agent for each group that waits.
 func TestPlanLooksUpCoefficientsOncePerGroup(t *testing.T) {
 	const agents, groups = 40, 60
 	count := &countingPolicy{}
--- a/flow/planlimit_test.go
+++ b/flow/planlimit_test.go
@@ -16,7 +16,7 @@
 	}
 }
 
-// TestPausesAfterPlan guards against plans that take most of the control thread's time (issue 20).
+// TestPausesAfterPlan guards against plans that take most of the control thread's time.
 func TestPausesAfterPlan(t *testing.T) {
 	const agents, groups = 1000, 5
 	count := &countingPolicy{}
@@ -43,7 +43,7 @@
 }
 
 // TestPlanLimitReachesEveryGroup guards against plans that examine agents without a limit, and
-// against groups that a limited plan never reaches (issue 20).
+// against groups that a limited plan never reaches.
 func TestPlanLimitReachesEveryGroup(t *testing.T) {
 	const agents, unplaceable = 1000, 200
 	const scores = (unplaceable + 1) * agents
@@ -68,7 +68,7 @@
 }
 
 // TestPlanLimitKeepsUrgentGroupsFirst guards against a limited plan that begins with the groups
-// which the one before didn't reach, so that more urgent ones wait for their turn (issue 20).
+// which the one before didn't reach, so that more urgent ones wait for their turn.
 func TestPlanLimitKeepsUrgentGroupsFirst(t *testing.T) {
 	const agents, unplaceable = 1000, 200
 	s := newTestLeader(agents)
--- a/flow/planmemory_test.go
+++ b/flow/planmemory_test.go
@@ -52,7 +52,7 @@
 }
 
 // TestPlanExaminesWhatChanged guards against plans that score the same agents again for the same
-// groups: they took half of the control thread's time (issue 20).
+// groups: they took half of the control thread's time.
 func TestPlanExaminesWhatChanged(t *testing.T) {
 	const agents, groups = 30, 20
 	cases := []struct {
--- a/flow/shortage_test.go
+++ b/flow/shortage_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestPlanSkipsGroupsThatDemandMore guards against plans that examine all agents for each group of
-// a backlog that fits nowhere (issue 20).
+// a backlog that fits nowhere.
 func TestPlanSkipsGroupsThatDemandMore(t *testing.T) {
 	const agents = 30
 	for _, groups := range []int{1, 10, 300} {
