usage: name the samples of the runtime

Read took the runtime's samples by their positions in a list of names. The positions are constants now, and the list is keyed by them.

--- a/usage/usage.go
+++ b/usage/usage.go
@@ -17,10 +17,23 @@
 	HeapBytes   uint64 // objects, including those that aren't collected yet
 }
 
-// The names of the runtime's samples, in the order in which Read reads them.
-var sampleNames = []string{
-	"/cpu/classes/gc/total:cpu-seconds", "/cpu/classes/total:cpu-seconds", "/cpu/classes/idle:cpu-seconds",
-	"/gc/cycles/total:gc-cycles", "/sched/goroutines:goroutines", "/memory/classes/heap/objects:bytes",
+// The samples of the runtime that Read reads, as indexes of sampleNames.
+const (
+	gcTime = iota
+	totalTime
+	idleTime
+	gcCycles
+	goroutines
+	heapBytes
+)
+
+var sampleNames = [...]string{
+	gcTime:     "/cpu/classes/gc/total:cpu-seconds",
+	totalTime:  "/cpu/classes/total:cpu-seconds",
+	idleTime:   "/cpu/classes/idle:cpu-seconds",
+	gcCycles:   "/gc/cycles/total:gc-cycles",
+	goroutines: "/sched/goroutines:goroutines",
+	heapBytes:  "/memory/classes/heap/objects:bytes",
 }
 
 // Read returns the usage up to now.
@@ -32,11 +45,11 @@
 	metrics.Read(samples)
 	return Usage{
 		Processor:   processorTime(),
-		RuntimeBusy: seconds(samples[1]) - seconds(samples[2]),
-		GC:          seconds(samples[0]),
-		GCCycles:    number(samples[3]),
-		Goroutines:  number(samples[4]),
-		HeapBytes:   number(samples[5]),
+		RuntimeBusy: seconds(samples[totalTime]) - seconds(samples[idleTime]),
+		GC:          seconds(samples[gcTime]),
+		GCCycles:    number(samples[gcCycles]),
+		Goroutines:  number(samples[goroutines]),
+		HeapBytes:   number(samples[heapBytes]),
 	}
 }
 
@@ -58,7 +71,7 @@
 	return u.GC.Seconds() / u.RuntimeBusy.Seconds()
 }
 
-// processorTime returns zero if the operating system doesn't tell.
+// processorTime returns what the process has used so far, or zero if the operating system doesn't tell.
 func processorTime() time.Duration {
 	var r syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
@@ -67,7 +80,7 @@
 	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
 }
 
-// seconds returns zero for a sample that the runtime doesn't know.
+// seconds returns a sample in seconds, or zero for one that the runtime doesn't know.
 func seconds(s metrics.Sample) time.Duration {
 	if s.Value.Kind() != metrics.KindFloat64 {
 		return 0
@@ -75,7 +88,7 @@
 	return time.Duration(s.Value.Float64() * float64(time.Second))
 }
 
-// number returns zero for a sample that the runtime doesn't know.
+// number returns a sample that is a number, or zero for one that the runtime doesn't know.
 func number(s metrics.Sample) uint64 {
 	if s.Value.Kind() != metrics.KindUint64 {
 		return 0
