assign: one word for scoring an agent

Score, score and rate did nearly the same under two words. The methods are scoreOf(i), for an agent by its index, and scoreView, for its view; betterOf is bestOf, as it returns the best of several scores.

--- a/assign/place.go
+++ b/assign/place.go
@@ -25,14 +25,14 @@
 	candidates := agents.Candidates()
 	s := &agentScores{model: p.ColocationModel, stage: st, agents: agents, scores: make([]agentScore, 0, len(candidates))}
 	for _, i := range candidates {
-		s.scores = append(s.scores, s.rate(i))
+		s.scores = append(s.scores, s.scoreOf(i))
 	}
 	return s
 }
 
-// score rates an agent by the resources and headroom that remain once a task of the stage runs
-// there.
-func (s *agentScores) score(v *notch.AgentView) agentScore {
+// scoreView scores an agent by the resources and headroom that remain once a task of the stage
+// runs there. It leaves the index of the agent unset.
+func (s *agentScores) scoreView(v *notch.AgentView) agentScore {
 	st := &s.stage
 	if !st.Reserved().Fits(v.Free) {
 		return agentScore{}
--- a/assign/scores.go
+++ b/assign/scores.go
@@ -40,19 +40,19 @@
 	value   float64
 }
 
-// rate returns the score of agent i.
-func (s *agentScores) rate(i int) agentScore {
+// scoreOf returns the score of agent i.
+func (s *agentScores) scoreOf(i int) agentScore {
 	v, ok := s.agents.At(i)
 	if !ok {
 		return agentScore{agent: i}
 	}
-	out := s.score(v)
+	out := s.scoreView(v)
 	out.agent = i
 	return out
 }
 
 // Rescore implements [notch.AgentScores].
-func (s *agentScores) Rescore(i int) { s.scores[s.position(i)] = s.rate(i) }
+func (s *agentScores) Rescore(i int) { s.scores[s.position(i)] = s.scoreOf(i) }
 
 // position returns the index of the first score of an agent whose index is at least i.
 func (s *agentScores) position(i int) int {
@@ -65,16 +65,16 @@
 func (s *agentScores) Next(waited time.Duration, seed uint64) int {
 	minFreeShare := s.minFreeShare(waited)
 	first := s.position(notch.SeededIndex(seed, s.agents.Len()))
-	best := betterOf(nil, s.scores[first:], minFreeShare)
-	best = betterOf(best, s.scores[:first], minFreeShare)
+	best := bestOf(nil, s.scores[first:], minFreeShare)
+	best = bestOf(best, s.scores[:first], minFreeShare)
 	if best == nil {
 		return -1
 	}
 	return best.agent
 }
 
-// betterOf returns the first of the highest scores among best, which may be nil, and scores.
-func betterOf(best *agentScore, scores []agentScore, minFreeShare float64) *agentScore {
+// bestOf returns the first of the highest scores among best, which may be nil, and scores.
+func bestOf(best *agentScore, scores []agentScore, minFreeShare float64) *agentScore {
 	for i := range scores {
 		a := &scores[i]
 		if a.fits && a.freeShare >= minFreeShare && (best == nil || a.value > best.value) {
