lease: AgentClock.LowerBound in place of Min

c.Min(now) read like the smaller of two values. It is the lower bound of the time on the agent's clock. The comment of its use in flow says why the bound is used.

--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -71,8 +71,8 @@
 func (s *stepper) formerLease(a notch.Agent, formerLeasesEnd notch.Time) lease.AgentLease {
 	l := lease.New(formerLeasesEnd)
 	if c, ok := s.agentClocks.Get(a.ID); ok && c.incarnation == a.Incarnation() {
-		// An old reading must not become a longer lease, whichever way the clock drifts.
-		l = l.WithClock(c.Min(s.now), s.now)
+		// From the lower bound, the lease is never longer than granted, whichever way the clock drifted.
+		l = l.WithClock(c.LowerBound(s.now), s.now)
 	}
 	return l
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -33,8 +33,8 @@
 // ReadAt returns when the reading was received.
 func (c AgentClock) ReadAt() notch.Time { return c.readAt }
 
-// Min returns the time in ms that the agent's clock has certainly reached.
-func (c AgentClock) Min(now notch.Time) int64 {
+// LowerBound returns the time in ms that the agent's clock has certainly reached.
+func (c AgentClock) LowerBound(now notch.Time) int64 {
 	return c.reading + int64(float64(now.Sub(c.readAt))*(1-MaxClockDrift)/float64(time.Millisecond))
 }
 
@@ -53,7 +53,7 @@
 
 // WithClock returns the state after an answer that contained the agent's clock in ms.
 func (l AgentLease) WithClock(reading int64, receivedAt notch.Time) AgentLease {
-	if !l.clock.Known() || reading > l.clock.Min(receivedAt) {
+	if !l.clock.Known() || reading > l.clock.LowerBound(receivedAt) {
 		l.clock = NewAgentClock(reading, receivedAt)
 	}
 	return l
@@ -89,5 +89,5 @@
 	if !l.ClockKnown() {
 		return l.grantedUntil == 0
 	}
-	return l.clock.Min(now) > l.grantedUntil+expiryMargin.Milliseconds()
+	return l.clock.LowerBound(now) > l.grantedUntil+expiryMargin.Milliseconds()
 }
