Build the fields of log messages by functions of the root package

TextField, IntField and DurationField stand beside LogField now; the engine, the daemon's link meter, flow and consensus use them. Names, order and text of all fields are unchanged.

--- a/consensus/contact.go
+++ b/consensus/contact.go
@@ -24,8 +24,8 @@
 		}
 	}
 	return []notch.LogField{
-		{Name: "contact-age", Value: s.now.Sub(s.quorumContactAt).Round(time.Millisecond).String()},
-		{Name: "voters", Value: strings.Join(voters, ", ")},
+		notch.DurationField("contact-age", s.now.Sub(s.quorumContactAt)),
+		notch.TextField("voters", strings.Join(voters, ", ")),
 	}
 }
 
--- a/daemon/linkmeter.go
+++ b/daemon/linkmeter.go
@@ -2,7 +2,6 @@
 
 import (
 	"reflect"
-	"strconv"
 	"sync"
 	"time"
 
@@ -64,10 +63,9 @@
 
 // linkFields describes a message that was slow.
 func linkFields(s link.Sent) []notch.LogField {
-	milliseconds := func(d time.Duration) string { return d.Round(time.Millisecond).String() }
 	return []notch.LogField{
-		{Name: "to", Value: s.To}, {Name: "message", Value: reflect.TypeOf(s.Message).Name()},
-		{Name: "wait", Value: milliseconds(s.Wait)}, {Name: "encode", Value: milliseconds(s.Encode)}, {Name: "write", Value: milliseconds(s.Write)},
-		{Name: "bytes", Value: strconv.Itoa(s.Bytes)}, {Name: "queued", Value: strconv.Itoa(s.Queued)},
+		notch.TextField("to", s.To), notch.TextField("message", reflect.TypeOf(s.Message).Name()),
+		notch.DurationField("wait", s.Wait), notch.DurationField("encode", s.Encode), notch.DurationField("write", s.Write),
+		notch.IntField("bytes", s.Bytes), notch.IntField("queued", s.Queued),
 	}
 }
--- a/effect.go
+++ b/effect.go
@@ -1,6 +1,9 @@
 package notch
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Effect is an action on the outside world, described as data. The runner carries
 // out effects in order and reports their outcomes as events.
@@ -143,6 +146,17 @@
 	Value string
 }
 
+// TextField returns a field with a text.
+func TextField(name, value string) LogField { return LogField{Name: name, Value: value} }
+
+// IntField returns a field with a number.
+func IntField(name string, n int) LogField { return TextField(name, strconv.Itoa(n)) }
+
+// DurationField returns a field with a duration, rounded to milliseconds.
+func DurationField(name string, d time.Duration) LogField {
+	return TextField(name, d.Round(time.Millisecond).String())
+}
+
 // PlanMade describes a plan, which looked for an agent for each task that could start. It is for
 // metrics and logs only.
 type PlanMade struct {
--- a/engine/meter.go
+++ b/engine/meter.go
@@ -129,8 +129,8 @@
 	}
 	m.planLoggedAt = now
 	m.sink.Log(notch.LogMessage{Text: "plan took long or stopped at its limit", Fields: []notch.LogField{
-		durationField("took", spent), intField("ready", m.plan.Ready), intField("placed", m.plan.Placed),
-		intField("stages-without-agent", m.plan.StagesWithoutAgent), intField("agents-examined", m.plan.AgentsExamined),
+		notch.DurationField("took", spent), notch.IntField("ready", m.plan.Ready), notch.IntField("placed", m.plan.Placed),
+		notch.IntField("stages-without-agent", m.plan.StagesWithoutAgent), notch.IntField("agents-examined", m.plan.AgentsExamined),
 	}})
 }
 
@@ -153,22 +153,18 @@
 	busy := m.intervalBefore.busy + m.interval.busy
 	used := m.readUsage().Since(m.intervalBefore.usage)
 	m.sink.Log(notch.LogMessage{Text: "control loop is behind", Fields: []notch.LogField{
-		durationField("wait", wait), intField("queued", queued), durationField("window", since),
+		notch.DurationField("wait", wait), notch.IntField("queued", queued), notch.DurationField("window", since),
 		shareField("loop-share", busy, since), shareField("cores", used.Processor, since),
-		field("gc-share", fmt.Sprintf("%.2f", used.GCShare())), field("goroutines", fmt.Sprint(used.Goroutines)),
-		field("time-by-kind", m.kinds.longest()),
+		fractionField("gc-share", used.GCShare()), notch.IntField("goroutines", int(used.Goroutines)),
+		notch.TextField("time-by-kind", m.kinds.longest()),
 	}})
 }
 
-func field(name, value string) notch.LogField { return notch.LogField{Name: name, Value: value} }
-
-func intField(name string, n int) notch.LogField { return field(name, fmt.Sprint(n)) }
-
-func durationField(name string, d time.Duration) notch.LogField {
-	return field(name, d.Round(time.Millisecond).String())
-}
-
 // shareField gives d as a fraction of a period.
 func shareField(name string, d, period time.Duration) notch.LogField {
-	return field(name, fmt.Sprintf("%.2f", d.Seconds()/max(period, time.Millisecond).Seconds()))
+	return fractionField(name, d.Seconds()/max(period, time.Millisecond).Seconds())
+}
+
+func fractionField(name string, f float64) notch.LogField {
+	return notch.TextField(name, fmt.Sprintf("%.2f", f))
 }
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -100,8 +100,8 @@
 	next := w.WithCancel(at)
 	s.putWorkflow(next)
 	if s.leads() && !w.State.Ended() {
-		s.logMessage("cancelled", field("request-id", id), field("runs", strconv.Itoa(next.LiveRuns())),
-			field("may-order", strconv.FormatBool(s.mayOrder())))
+		s.logMessage("cancelled", notch.TextField("request-id", id), notch.IntField("runs", next.LiveRuns()),
+			notch.TextField("may-order", strconv.FormatBool(s.mayOrder())))
 	}
 	s.stopUnwanted(next)
 	return notch.WorkflowResult{ID: id, Outcome: notch.WorkflowAccepted}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -219,8 +219,6 @@
 	s.out = append(s.out, notch.LogMessage{Text: text, Fields: fields})
 }
 
-func field(name, value string) notch.LogField { return notch.LogField{Name: name, Value: value} }
-
 // leads reports whether this replica leads and knows all committed entries.
 func (s *stepper) leads() bool { return s.leadership.Leading && s.leadership.Ready != 0 }
 
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	notch "tamaracknotch"
@@ -91,21 +90,19 @@
 	if lapsed == 0 {
 		return
 	}
-	left, lastAnswer := "never", "never"
+	left, lastAnswer := notch.TextField("lease-left", "never"), notch.TextField("last-answer", "never")
 	if until := session.lease.GrantedUntil(); until != 0 {
-		left = (time.Duration(until-clock) * time.Millisecond).String()
+		left = notch.DurationField("lease-left", time.Duration(until-clock)*time.Millisecond)
 	}
 	if session.lastAnsweredAt != 0 {
-		lastAnswer = logDuration(s.now.Sub(session.lastAnsweredAt))
+		lastAnswer = notch.DurationField("last-answer", s.now.Sub(session.lastAnsweredAt))
 	}
 	s.logMessage("runs ended with an agent's lease",
-		field("agent", session.incarnation.Agent), field("runs", strconv.Itoa(lapsed)),
-		field("lease-left", left), field("last-answer", lastAnswer), field("unanswered", strconv.Itoa(session.unanswered)),
-		field("leading-for", logDuration(s.now.Sub(s.leadership.Ready))))
+		notch.TextField("agent", session.incarnation.Agent), notch.IntField("runs", lapsed),
+		left, lastAnswer, notch.IntField("unanswered", session.unanswered),
+		notch.DurationField("leading-for", s.now.Sub(s.leadership.Ready)))
 }
 
-func logDuration(d time.Duration) string { return d.Round(time.Millisecond).String() }
-
 // evacuate stops the runs on a draining agent that can continue elsewhere without losing work:
 // long-running tasks and tasks that save their progress.
 func (s *stepper) evacuate(a notch.Agent, live []notch.LiveRun) {
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -103,7 +103,7 @@
 
 // deposed stops sending orders in this term, because an agent has seen a later leader's token.
 func (s *stepper) deposed(b notch.AgentAnswered) {
-	s.logMessage("an agent has seen a later leader's token", field("agent", b.Life.Agent))
+	s.logMessage("an agent has seen a later leader's token", notch.TextField("agent", b.Life.Agent))
 	s.Part = s.withoutLeaderState()
 	s.leadership.Contact = 0
 	s.fencedTerm = s.leadership.Term
--- a/flow/session.go
+++ b/flow/session.go
@@ -44,8 +44,8 @@
 // runFields returns the fields of a log message about a run.
 func runFields(ref notch.RunRef, agent, outcome string) []notch.LogField {
 	return []notch.LogField{
-		field("request-id", ref.Task.Flow), field("task", ref.Task.String()),
-		field("run", strconv.FormatUint(ref.Number, 10)), field("agent", agent), field("outcome", outcome),
+		notch.TextField("request-id", ref.Task.Flow), notch.TextField("task", ref.Task.String()),
+		notch.TextField("run", strconv.FormatUint(ref.Number, 10)), notch.TextField("agent", agent), notch.TextField("outcome", outcome),
 	}
 }
 
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -50,7 +50,7 @@
 	}
 	session.endsProposedAt = s.now
 	s.sessions = s.sessions.Set(id, session)
-	s.logMessage("gives up the runs of an agent", field("agent", id), field("why", string(kind)))
+	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(kind)))
 	var ends []notch.RunEnd
 	for _, ref := range slices.SortedFunc(slices.Values(refs), compareRunRefs) {
 		ends = append(ends, notch.RunEnd{Run: ref, Kind: kind})
