consensus: say why two heartbeats go to a replica, and how long a stall counts

The comment of sendHeartbeat named neither what an ordinary heartbeat waits for nor what the second one follows, and excludeStall didn't explain its upper bounds. Comments only.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -269,7 +269,8 @@
 }
 
 // excludeStall postpones the timeouts by the time for which this replica didn't run. It sent
-// nothing in that time, and may not have received yet what the others sent.
+// nothing in that time, and may not have received yet what the others sent. No timeout ends later
+// than one that begins now could.
 func (s *stepper) excludeStall() {
 	stall := s.now.Sub(s.lastTickAt) - s.timing.HeartbeatInterval
 	firstTick := s.lastTickAt == 0
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -186,9 +186,11 @@
 
 // sendHeartbeat sends a heartbeat to replica i, with entries if it lacks some. While the
 // replica is being probed the heartbeat is empty, so that a replica far behind doesn't
-// receive the same entries repeatedly. A heartbeat waits behind the messages before it, or its
-// follower couldn't tell whether they were lost; so another one goes ahead of entries that aren't
-// confirmed.
+// receive the same entries repeatedly.
+//
+// A heartbeat follows the last entry that was sent, so a replica can accept it only after the
+// messages before it. While some of these aren't confirmed, another heartbeat is sent that need
+// not wait for them.
 func (s *stepper) sendHeartbeat(i int) {
 	pr := s.progress[i]
 	if !pr.probing || pr.match < s.log.base {
@@ -205,7 +207,8 @@
 	s.sendContact(pr)
 }
 
-// sendContact sends a heartbeat that the replica can answer whatever else is on its way to it.
+// sendContact sends a heartbeat that follows the last entry which the replica has confirmed, so
+// that the replica can accept it whatever else is on its way.
 func (s *stepper) sendContact(pr progress) {
 	s.send(pr.replica.Name, notch.AppendRequest{
 		Term: s.hardState.Term, Leader: s.self.Name, PrevIndex: pr.match, PrevTerm: s.log.term(pr.match),
