flow: names of a plan's counters and look-ups say what they hold

planner.agentViews had the name of a type and counts the agents that were read, so it is agentsRead; lookUp is latestShortage, and its comment mentions that it marks the kind as asked for; lists(answer, ref) is isListed. The comment of maxClockReadingAge spoke of 4% without saying of what.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -65,7 +65,8 @@
 }
 
 // maxClockReadingAge limits the age of the committed reading of the clock of an agent with runs.
-// At this age, a lease that is based on the reading may be shorter by 4%, twice MaxClockDrift.
+// A lease that is based on a reading may be shorter by twice lease.MaxClockDrift of its age, which
+// is 1.2 s then.
 const maxClockReadingAge = 30 * time.Second
 
 // commitClock commits the clock of an agent with runs, if the latest reading is too old or that of
@@ -171,7 +172,7 @@
 	load, _ := s.loads.Get(a.ID)
 	for _, run := range load.runs {
 		ref := run.ref
-		if lists(b.Answer, ref) {
+		if isListed(b.Answer, ref) {
 			continue
 		}
 		r, ok := s.run(ref)
@@ -186,8 +187,8 @@
 	return out
 }
 
-// lists reports whether an answer lists a run, live or ended. Both lists are short.
-func lists(answer notch.AgentAnswer, ref notch.RunRef) bool {
+// isListed reports whether an answer lists a run, live or ended. Both lists are short.
+func isListed(answer notch.AgentAnswer, ref notch.RunRef) bool {
 	return slices.ContainsFunc(answer.Live, func(l notch.LiveRun) bool { return l.Run == ref }) ||
 		slices.ContainsFunc(answer.Ends, func(e notch.ListedEnd) bool { return e.End.Run == ref })
 }
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -50,7 +50,7 @@
 	placer     notch.RunPlacer
 	pools      map[string]*agentViews // by name
 	placed     []notch.RunPlacement
-	agentViews int // number of agent views that were made
+	agentsRead int // number of agents that were read to make views
 	made       notch.PlanMade
 }
 
@@ -107,7 +107,7 @@
 
 // pauseForAgents returns the part of the pause that pays for looking at agents.
 func (p *planner) pauseForAgents() time.Duration {
-	out := time.Duration(p.agentViews)*pausePerAgentView + time.Duration(p.made.AgentsExamined)*pausePerScore
+	out := time.Duration(p.agentsRead)*pausePerAgentView + time.Duration(p.made.AgentsExamined)*pausePerScore
 	for _, v := range p.pools {
 		out += time.Duration(v.withImages) * pausePerAgentImages
 	}
@@ -128,7 +128,7 @@
 	v := p.pools[pool.Name]
 	if v == nil {
 		v = p.agentViewsOf(pool)
-		p.agentViews += p.sessions.Len()
+		p.agentsRead += p.sessions.Len()
 		p.pools[pool.Name] = v
 	}
 	return v
--- a/flow/views.go
+++ b/flow/views.go
@@ -132,7 +132,7 @@
 func (v *agentViews) setStage(ref notch.TaskRef, st notch.Stage) bool {
 	v.stageRef, v.stage = ref, st
 	kind := demandKindOf(&st)
-	lackedAt := max(v.lookUp(kind, st.Size), v.lookUp(kind.withoutLabel(), st.Size))
+	lackedAt := max(v.latestShortage(kind, st.Size), v.latestShortage(kind.withoutLabel(), st.Size))
 	if lackedAt != 0 && v.latestGains.gained(st.Fills) <= lackedAt {
 		return false
 	}
@@ -156,9 +156,9 @@
 	return out
 }
 
-// lookUp returns the number of the latest plan in which a demand of at most the given size fitted
-// on no agent, or 0.
-func (v *agentViews) lookUp(kind demandKind, size notch.Resources) uint64 {
+// latestShortage returns the number of the latest plan in which a demand of at most the given size
+// fitted on no agent, or 0. It records that this plan has a group of the kind.
+func (v *agentViews) latestShortage(kind demandKind, size notch.Resources) uint64 {
 	l, ok := v.shortages[kind]
 	if !ok {
 		return 0
