share: choose the changes to keep in a function of its own

tablesHistory.with built the next history and, in the same body, counted rows backwards to decide which changes to drop. latestChanges does that now.

--- a/share/history.go
+++ b/share/history.go
@@ -15,7 +15,7 @@
 	changes []*notch.TablesChange // each from the revision of the one before, the latest last
 }
 
-// maxChanges limits the changes that are kept.
+// maxChanges limits the number of changes that are kept.
 const maxChanges = 64
 
 // with returns h with later tables.
@@ -27,18 +27,22 @@
 		return next
 	}
 	latest := h.tables.ChangeTo(t)
-	next.changes = append(slices.Clip(h.changes), &latest)
-	// Changes that have more rows than the tables are worth less than the whole tables.
-	first, rows := len(next.changes), 0
-	for first > 0 && len(next.changes)-first < maxChanges {
-		rows += next.changes[first-1].Rows()
-		if rows > whole.Rows() {
+	next.changes = latestChanges(append(slices.Clip(h.changes), &latest), whole.Rows())
+	return next
+}
+
+// latestChanges returns the latest changes that have at most the given number of rows together: an
+// entry that needs more of them is better served by the whole tables.
+func latestChanges(changes []*notch.TablesChange, maxRows int) []*notch.TablesChange {
+	first, rows := len(changes), 0
+	for first > 0 && len(changes)-first < maxChanges {
+		rows += changes[first-1].Rows()
+		if rows > maxRows {
 			break
 		}
 		first--
 	}
-	next.changes = slices.Clone(next.changes[first:])
-	return next
+	return slices.Clone(changes[first:])
 }
 
 // since returns the changes from a revision to the latest one: those made since, if they are
