--- a/wire/change.go
+++ b/wire/change.go
@@ -23,8 +23,8 @@
 // maxChangeSize limits the size of a decoded change in bytes.
 const maxChangeSize = 64 << 20
 
-// changes is shared by the links of all peers.
-var changes = changeEncoder{encoded: map[weak.Pointer[notch.TablesChange]][]byte{}}
+// sharedEncoder is shared by the links of all peers.
+var sharedEncoder = changeEncoder{encoded: map[weak.Pointer[notch.TablesChange]][]byte{}}
 
 // changeEncoder encodes changes and keeps the encodings of those that are still in use.
 type changeEncoder struct {
@@ -83,7 +83,7 @@
 func encodedGrant(m notch.EntryGrant) (grant, error) {
 	out := grant{EntryGrant: m}
 	for _, c := range m.Changes {
-		b, err := changes.encode(c)
+		b, err := sharedEncoder.encode(c)
 		if err != nil {
 			return grant{}, err
 		}
--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -117,11 +117,11 @@
 // TestChangeIsEncodedOnce checks that a change that many entries get isn't encoded again.
 func TestChangeIsEncodedOnce(t *testing.T) {
 	c := &notch.TablesChange{Revision: 2, Routes: []notch.Splice[notch.Route]{{Insert: make([]notch.Route, 1000)}}}
-	first, err := changes.encode(c)
+	first, err := sharedEncoder.encode(c)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if again, err := changes.encode(c); err != nil || &again[0] != &first[0] {
+	if again, err := sharedEncoder.encode(c); err != nil || &again[0] != &first[0] {
 		t.Errorf("got another encoding, %v, want the first one", err)
 	}
 }
