engine: one clock that stands still for the tests

testClock and fixedClock were two types of test clock that return a fixed time. The test of the loop uses fixedClock, at the same time as before.

--- a/engine/loop_test.go
+++ b/engine/loop_test.go
@@ -9,12 +9,6 @@
 	notch "tamaracknotch"
 )
 
-// testClock is a clock that stands still.
-type testClock struct{}
-
-func (testClock) Now() notch.Time  { return notch.Time(time.Hour) }
-func (testClock) UnixMilli() int64 { return 0 }
-
 // testTick is the time between the ticks of a test's loop.
 const testTick = 5 * time.Millisecond
 
@@ -57,7 +51,7 @@
 func isEither[T, U notch.Body](b notch.Body) bool { return is[T](b) || is[U](b) }
 
 func startTestLoop(r recorder, tick time.Duration) *loop {
-	return newLoop(notch.NewState(r), testClock{}, 1, tick, nil, func(notch.Effect) {})
+	return newLoop(notch.NewState(r), &fixedClock{now: notch.Time(time.Hour)}, 1, tick, nil, func(notch.Effect) {})
 }
 
 // A leader whose loop had a long batch to reduce lost contact with its quorum, because the
