--- a/drive/drive.go
+++ b/drive/drive.go
@@ -220,7 +220,7 @@
 	if sim.StepTime != nil {
 		n.mailbox.put(b)
 		if !n.mailbox.busy {
-			sim.work(n)
+			sim.reduceNext(n)
 		}
 		return
 	}
--- a/drive/mailbox.go
+++ b/drive/mailbox.go
@@ -55,9 +55,9 @@
 	return nil, false
 }
 
-// work reduces the next event in the mailbox of a daemon. The effects follow when the time
-// of the step has passed, and then the next event.
-func (sim *Simulator) work(n *Node) {
+// reduceNext reduces the next event in the mailbox of a daemon. The effects follow when the
+// time of the step has passed, and then the next event.
+func (sim *Simulator) reduceNext(n *Node) {
 	b, ok := n.mailbox.take()
 	n.mailbox.busy = ok
 	if !ok {
@@ -68,7 +68,7 @@
 		for _, f := range effects {
 			sim.runEffect(n, f)
 		}
-		sim.work(n)
+		sim.reduceNext(n)
 	})
 }
 
--- a/fake/barrier_test.go
+++ b/fake/barrier_test.go
@@ -13,12 +13,8 @@
 	sent := 0
 	s.StepTime = func(_ *drive.Node, _ notch.Body, effects []notch.Effect) time.Duration {
 		for _, f := range effects {
-			if m, ok := f.(notch.Send); ok {
-				if o, ok := m.Message.(notch.Outcome); ok {
-					if _, ok := o.Result.(notch.TablesResult); ok {
-						sent++
-					}
-				}
+			if sendsTables(f) {
+				sent++
 			}
 		}
 		return 0
@@ -26,6 +22,14 @@
 	return &sent
 }
 
+// sendsTables reports whether an effect sends a result with tables to another daemon.
+func sendsTables(f notch.Effect) bool {
+	m, _ := f.(notch.Send)
+	o, _ := m.Message.(notch.Outcome)
+	_, ok := o.Result.(notch.TablesResult)
+	return ok
+}
+
 // readTables has a barrier committed through a daemon and returns the revision that it answers.
 func readTables(t *testing.T, s *Testbed, n *drive.Node) uint64 {
 	t.Helper()
