--- a/flow/planmemory_test.go
+++ b/flow/planmemory_test.go
@@ -25,6 +25,16 @@
 	}
 }
 
+// newBacklogLeader returns a leader of agents that run tasks, with groups that fit on none of them.
+func newBacklogLeader(agents, groups int, fills bool, count *countingPolicy) *testLeader {
+	s := newTestLeader(agents, WithPolicy(count.policy()))
+	for i := range agents {
+		s.colocate(i)
+	}
+	s.submitShortOf(groups, fills)
+	return s
+}
+
 // endRun commits the end of the first task of a workflow on agent i.
 func (s *testLeader) endRun(workflow string, i int) {
 	s.commit(notch.EndRuns{
@@ -39,18 +49,21 @@
 	s.advance(d)
 	part, effects := s.state.Parts()[0].Step(notch.Event{At: s.now, Seed: s.index, Body: notch.Tick{}})
 	s.state = notch.NewState(part)
-	for _, e := range effects {
-		if emit, ok := e.(notch.Emit); ok {
-			if p, ok := emit.Body.(notch.Proposal); ok {
-				if c, ok := p.Command.(notch.PlaceRuns); ok {
-					return c.Placements
-				}
-			}
+	for _, f := range effects {
+		if c, ok := proposedCommand(f).(notch.PlaceRuns); ok {
+			return c.Placements
 		}
 	}
 	return nil
 }
 
+// proposedCommand returns the command that an effect proposes, or nil.
+func proposedCommand(f notch.Effect) notch.Command {
+	emit, _ := f.(notch.Emit)
+	p, _ := emit.Body.(notch.Proposal)
+	return p.Command
+}
+
 // TestPlanExaminesWhatChanged guards against plans that score the same agents again for the same
 // groups: they took half of the control thread's time.
 func TestPlanExaminesWhatChanged(t *testing.T) {
@@ -80,11 +93,7 @@
 	for _, c := range cases {
 		for _, fills := range []bool{false, true} {
 			count := &countingPolicy{}
-			s := newTestLeader(agents, WithPolicy(count.policy()))
-			for i := range agents {
-				s.colocate(i)
-			}
-			s.submitShortOf(groups, fills)
+			s := newBacklogLeader(agents, groups, fills, count)
 			if got, want := len(s.planAfter(20*time.Millisecond)), 0; got != want {
 				t.Fatalf("%s: got %d placements, want %d", c.name, got, want)
 			}
