KeepsContact: name the messages in its comment

"Tell that they are there" left the reader to find out from the code which messages are meant. Comment only.

--- a/priority.go
+++ b/priority.go
@@ -36,8 +36,9 @@
 	return NormalPriority
 }
 
-// KeepsContact reports whether a message is one of those by which replicas tell that they are
-// there. They are small, and may overtake all others.
+// KeepsContact reports whether a message is one of those by which replicas keep contact: votes,
+// heartbeats that follow a confirmed entry, and the answers to heartbeats and entries. They are
+// small, and may overtake all others.
 func KeepsContact(m Message) bool {
 	switch m := m.(type) {
 	case VoteRequest, VoteReply, AppendReply:
