flow: hasImages in place of colocated

The field of agentViews tells whether an agent's view includes the images of its service tasks, not whether tasks are colocated there.

--- a/flow/views.go
+++ b/flow/views.go
@@ -16,7 +16,7 @@
 	loads       []agentLoad                      // of the agents before the plan
 	memory      []agentMemory                    // of the agents
 	latestGains agentGains                       // of any agent
-	colocated   []bool                           // by agent; the view includes the images of its service tasks
+	hasImages   []bool                           // by agent: its view includes the images of its service tasks
 	runsByStage map[notch.TaskRef]map[string]int // number of runs by stage and agent id; the Index of the stage is 0
 	shortages   map[demandKind]shortages
 
@@ -52,7 +52,7 @@
 			v.add(a, session, remembered.agent(id))
 		}
 	}
-	v.colocated = make([]bool, len(v.agents))
+	v.hasImages = make([]bool, len(v.agents))
 	return v
 }
 
@@ -92,7 +92,7 @@
 
 // addImages adds the service images on agent i to its view.
 func (v *agentViews) addImages(i int) {
-	v.colocated[i] = true
+	v.hasImages[i] = true
 	v.withImages++
 	view := &v.agents[i]
 	view.ServiceImages = v.s.serviceImages(view.Agent.ID, v.loads[i])
@@ -197,7 +197,7 @@
 // At implements [notch.AgentViews].
 func (v *agentViews) At(i int) (*notch.AgentView, bool) {
 	v.examined++
-	if !v.colocated[i] && (v.stage.Fills || v.stage.Target > 0) {
+	if !v.hasImages[i] && (v.stage.Fills || v.stage.Target > 0) {
 		v.addImages(i)
 	}
 	view := &v.agents[i]
