--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -81,9 +81,8 @@
 	}
 }
 
-// TestShortTaskReserve guards against long-running tasks that take all processors. In scenario
-// trouble-3 on kilnseconds they held 0.98 of them, and 200 short tasks of the same priority
-// waited for half a minute.
+// TestShortTaskReserve guards against long-running tasks that take all processors, so that short
+// tasks of the same priority wait for half a minute.
 func TestShortTaskReserve(t *testing.T) {
 	longRunning := notch.Stage{Size: notch.Resources{MilliCPU: 13000, MemoryMB: 1}, Image: "s", Target: time.Second, Lasts: true}
 	short := notch.Stage{Size: longRunning.Size}
--- a/flow/colocate_test.go
+++ b/flow/colocate_test.go
@@ -8,8 +8,7 @@
 )
 
 // TestBlocksOpportunisticTasks guards against opportunistic tasks that keep running while a
-// colocated service task exceeds its target. It happened for four seconds in scenario quiet-1
-// with seeds 12, 13 and 16.
+// colocated service task exceeds its target for seconds.
 func TestBlocksOpportunisticTasks(t *testing.T) {
 	cases := []struct {
 		name string
