gateway: answer copies of a call from its result

What callers saw: late or missing answers while a leader is behind (LOST, SHORT).

Cause: a daemon sends an unanswered call to the leader again after 0.4 s, 0.8 s and so on. While the leader's loop is behind by more than that, copies wait in its mailbox. The first one is applied before the next is reduced, and only a copy of a call that isn't applied yet was ignored. So each further copy became a log entry, which is sent to four replicas, synced by five journals and applied. After a change of the leader all unanswered calls come again at once, also those that the former leader had committed.

Every replica now keeps the results of the last 5 to 10 s by daemon and ticket, and the leader answers a copy from them. A result was committed, so it is right whoever leads; tickets of a process begin at a random value, so those of an earlier process don't meet. A copy that comes later is appended, as before, which is safe as commands are idempotent.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,11 +49,12 @@
 	leading    bool
 	replicas   notch.ReplicaSet
 	calls      *immutable.SortedMap[uint64, call]
+	results    results // of calls of all daemons; on replicas only
 }
 
 // New returns the gateway of the daemon named self.
 func New(self string) Part {
-	return Part{self: self, calls: immutable.NewSortedMap[uint64, call](nil)}
+	return Part{self: self, calls: immutable.NewSortedMap[uint64, call](nil), results: newResults()}
 }
 
 // Step implements [notch.Part].
@@ -84,7 +85,7 @@
 		next, more := p.resend(e.At)
 		return next, append(out, more...)
 	case notch.Applied:
-		return p.applied(b)
+		return p.applied(e.At, b)
 	case notch.HeartbeatAnswered:
 		return p.heartbeatAnswered(b)
 	case notch.QueryAnswered:
@@ -206,14 +207,26 @@
 	return notch.Answer{Ticket: ticket, Err: notch.ErrResultUnknown}
 }
 
-func (p Part) applied(b notch.Applied) (notch.Part, []notch.Effect) {
+func (p Part) applied(now notch.Time, b notch.Applied) (notch.Part, []notch.Effect) {
 	if b.Origin == p.self {
 		return p.answer(b.Ticket, b.Result)
 	}
-	if b.Origin == "" || !p.leading || p.learnsFromLog(b) {
+	if b.Origin == "" {
 		return nil, nil
 	}
-	return nil, []notch.Effect{notch.Send{To: b.Origin, Message: notch.Outcome{Ticket: b.Ticket, Result: b.Result}}}
+	p.results = p.results.with(now, callID{b.Origin, b.Ticket}, b.Result)
+	if !p.leading {
+		return p, nil
+	}
+	return p, p.sendResult(b)
+}
+
+// sendResult returns the effects that bring a result to the daemon that waits for it.
+func (p Part) sendResult(b notch.Applied) []notch.Effect {
+	if p.learnsFromLog(b) {
+		return nil
+	}
+	return []notch.Effect{notch.Send{To: b.Origin, Message: notch.Outcome{Ticket: b.Ticket, Result: b.Result}}}
 }
 
 // learnsFromLog reports whether the daemon that waits for a result gets it when it applies the log
@@ -269,9 +282,22 @@
 	if !p.leading {
 		return nil, []notch.Effect{notch.Send{To: from, Message: notch.LeaderHint{Leader: p.leader}}}
 	}
+	if r, ok := p.resultOf(body); ok {
+		return nil, p.sendResult(r)
+	}
 	return nil, []notch.Effect{notch.Emit{Body: body}}
 }
 
+// resultOf returns the result of a request, if it is a command that was applied recently.
+func (p Part) resultOf(request notch.Body) (notch.Applied, bool) {
+	c, ok := request.(notch.Proposal)
+	if !ok {
+		return notch.Applied{}, false
+	}
+	result, ok := p.results.get(callID{c.Origin, c.Ticket})
+	return notch.Applied{Origin: c.Origin, Ticket: c.Ticket, Result: result}, ok
+}
+
 // leaderRequest returns the event for a message that is a request to the leader, or nil for
 // other messages.
 func leaderRequest(from string, m notch.Message) notch.Body {
