--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -108,6 +108,8 @@
 	}
 }
 
+// TestOrder guards against tasks that wait behind less urgent ones, such as the interrupted tasks of
+// a service behind first starts, or long-running tasks behind those of newer workflows.
 func TestOrder(t *testing.T) {
 	now := notch.Time(time.Hour)
 	base := notch.ReadyTask{Priority: 1, Accepted: now, Due: now.Add(5 * time.Second), Remaining: time.Second}
--- a/assign/scores_test.go
+++ b/assign/scores_test.go
@@ -11,8 +11,8 @@
 	"tamaracknotch/colocation"
 )
 
-// TestScoresDifferential places the tasks of a stage one after the other and compares each choice
-// with one from scores that are computed anew.
+// TestScoresDifferential guards against placements by outdated scores: it places the tasks of a stage
+// one after the other and compares each choice with one from scores that are computed anew.
 func TestScoresDifferential(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		images := rapid.SampledFrom([]string{"a", "b"})
--- a/engine/journaler_test.go
+++ b/engine/journaler_test.go
@@ -6,7 +6,8 @@
 	notch "tamaracknotch"
 )
 
-// A replica took entries of a new leader for synced when the entries that they replaced were.
+// Guards against a replica that acknowledges entries of a new leader before they are synced: the
+// sync of the entries that they replaced was reported under the new term.
 func TestPersistedHasTermOfEntry(t *testing.T) {
 	records := []notch.Persist{
 		{Hard: notch.HardState{Term: 1}, Entries: []notch.LogEntry{{Index: 2, Term: 1}}},
--- a/engine/loop_test.go
+++ b/engine/loop_test.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// The events of a burst share one flush, and so one sync of the journal, even if events of high
-// priority arrive in between.
+// Guards against a sync of the journal for each event of a burst: events of high priority that
+// arrive in between must not end the batch.
 func TestBurstSharesOneFlush(t *testing.T) {
 	r := newRecorder()
 	l := startTestLoop(r, time.Hour)
--- a/engine/submit_test.go
+++ b/engine/submit_test.go
@@ -17,7 +17,8 @@
 func (systemClock) Now() notch.Time  { return notch.TimeOf(time.Now()) }
 func (systemClock) UnixMilli() int64 { return time.Now().UnixMilli() }
 
-// A caller was told that the outcome is unknown although its command was never sent.
+// Guards against a caller that can't tell whether to retry: it was told that the outcome is unknown
+// although its command was never sent.
 func TestSubmitWithoutLeaderIsNotRun(t *testing.T) {
 	sink := &totals{counts: map[string]int64{}, values: make(chan string, 1000)}
 	e := New(Config{Control: notch.NewState(gateway.New("a")), Clock: systemClock{}, Sink: sink}, nil)
--- a/engine/tables_test.go
+++ b/engine/tables_test.go
@@ -38,6 +38,7 @@
 	}
 }
 
+// Guards against an entry that answers callers by tables of any age while it holds no lease.
 func TestLeasedTablesWithoutLease(t *testing.T) {
 	clock := &hookClock{hook: func() {}}
 	e := &Engine{cfg: Config{Clock: clock}}
--- a/fake/workflow_test.go
+++ b/fake/workflow_test.go
@@ -195,8 +195,8 @@
 // maxBusyStepTime is the longest step of the control loops that are busy much of the time.
 const maxBusyStepTime = 3 * time.Millisecond
 
-// TestRandomWorkflowsBusy queues the events of each daemon while its control loop reduces others,
-// so that those of high priority overtake the rest.
+// TestRandomWorkflowsBusy guards against promises that hold only if events are reduced in the order
+// of their arrival: those of high priority overtake others that wait while a control loop is busy.
 func TestRandomWorkflowsBusy(t *testing.T) {
 	for i := range *seeds / 4 {
 		seed := *firstSeed + uint64(i)
--- a/flow/planmemory_test.go
+++ b/flow/planmemory_test.go
@@ -218,7 +218,8 @@
 	return placed
 }
 
-// TestPlansRememberDifferential compares plans with ones that remember nothing of those before.
+// TestPlansRememberDifferential guards against tasks that wait although an agent has gained room for
+// them: it compares plans with ones that remember nothing of those before.
 func TestPlansRememberDifferential(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		policy := []Policy{DefaultPolicy(), NaivePolicy()}[rapid.IntRange(0, 1).Draw(t, "policy")]
--- a/flow/shortage_test.go
+++ b/flow/shortage_test.go
@@ -33,7 +33,8 @@
 	}
 }
 
-// TestSkippedGroupsDontFit compares the placements of a plan with those of one that skips no group.
+// TestSkippedGroupsDontFit guards against tasks that wait although they fit on an agent, because a
+// plan skipped their group: it compares the placements with those of a plan that skips no group.
 func TestSkippedGroupsDontFit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		policies := []Policy{DefaultPolicy(), NaivePolicy()}
--- a/link/outbox_test.go
+++ b/link/outbox_test.go
@@ -7,6 +7,7 @@
 	notch "tamaracknotch"
 )
 
+// Guards against an outbox that grows without a limit while its peer is slow or out of reach.
 func TestOutboxDropsWhenFull(t *testing.T) {
 	o := newOutbox()
 	for range queueLength + 5 {
@@ -17,7 +18,8 @@
 	}
 }
 
-// The token of an outbox stays while messages wait, so that a new connection sends them.
+// Guards against messages that are stuck in an outbox: its token stays while messages wait, so that
+// a new connection sends them.
 func TestOutboxIsReadyWhileMessagesWait(t *testing.T) {
 	o := newOutbox()
 	o.put(notch.AppendReply{})
--- a/share/history_test.go
+++ b/share/history_test.go
@@ -8,8 +8,8 @@
 	notch "tamaracknotch"
 )
 
-// TestHistory checks that what an entry gets leads to the latest tables, and that it gets
-// fewer rows than the whole tables have if its revision is known.
+// TestHistory guards against changes that don't lead to the latest tables, and against entries that
+// get more rows than the whole tables have.
 func TestHistory(t *testing.T) {
 	const rows, revisions = 100, 3 * maxChanges
 	var h tablesHistory
