Tests: the outcome of a sync passes queued events

Callers would see late answers under load: a leader commits an entry only after it has reduced what was queued before the outcome of its own sync.

With Persisted and the others at normal priority: order of events: got [{Server:...} {Term:1 Index:2}], want [{Term:1 Index:2} {Server:...}]

--- a/engine/loop_test.go
+++ b/engine/loop_test.go
@@ -155,3 +155,22 @@
 		}
 	}
 }
+
+// A leader committed nothing while its loop reduced a long batch, because the outcomes of the syncs
+// waited behind the whole batch.
+func TestSyncPassesQueuedEvents(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, time.Hour)
+	l.post(notch.CommandSubmitted{Ticket: 1})
+	<-r.started
+	l.post(notch.ServerAnnounced{})
+	l.post(notch.Persisted{Term: 1, Index: 2})
+	r.release <- struct{}{}
+	l.close()
+
+	got := r.receivedOf(isEither[notch.ServerAnnounced, notch.Persisted])
+	want := []notch.Body{notch.Persisted{Term: 1, Index: 2}, notch.ServerAnnounced{}}
+	if !slices.Equal(got, want) {
+		t.Errorf("order of events: got %+v, want %+v", got, want)
+	}
+}
