Tests: the report of an entry's next process doesn't overtake its leave

Callers could see more requests at a backend server than it has slots for: by the code of onLeave, the leader would forget the slots and the lease of an entry that has just started, until its next report. No test failed with the priority of LeaveMessage taken out.

With LeaveMessage at normal priority: first message: got notch.EntryReport, want notch.LeaveMessage

--- a/engine/loop_test.go
+++ b/engine/loop_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -174,3 +175,21 @@
 		t.Errorf("order of events: got %+v, want %+v", got, want)
 	}
 }
+
+// Guards against a leader that forgets the lease of an entry's new process: the process's first
+// report must not overtake the message by which the process before it left.
+func TestReportFollowsLeave(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, time.Hour)
+	l.post(notch.CommandSubmitted{Ticket: 1})
+	<-r.started
+	l.post(notch.MessageReceived{From: "e", Message: notch.LeaveMessage{}})
+	l.post(notch.MessageReceived{From: "e", Message: notch.EntryReport{Incarnation: 2}})
+	r.release <- struct{}{}
+	l.close()
+
+	first := r.receivedOf(is[notch.MessageReceived])[0].(notch.MessageReceived)
+	if got, want := fmt.Sprintf("%T", first.Message), "notch.LeaveMessage"; got != want {
+		t.Errorf("first message: got %s, want %s", got, want)
+	}
+}
