Tests: an edit of one row is sent as one row

Callers would see entries that refuse requests while versions of a large configuration come: each version sends the whole tables, which delay the leases on a slow link. TestHistory and the scripts tables-changes and large-tables pass if the changes since the entry's revision are never used.

With that: rows sent for an edit of one row: got 100, want 1

--- a/share/history_test.go
+++ b/share/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 
 	notch "tamaracknotch"
@@ -43,3 +44,23 @@
 		t.Errorf("from the revision before: got %d changes, want 1", got)
 	}
 }
+
+// Guards against an entry that gets the whole tables for each edit of a row: on a slow link, they
+// delay the leases behind them.
+func TestSmallEditIsSentAlone(t *testing.T) {
+	routes := make([]notch.Route, 100)
+	for i := range routes {
+		routes[i].Name = fmt.Sprint(i)
+	}
+	before := notch.Tables{}.WithRoutes(routes)
+	edited := slices.Clone(routes)
+	edited[50].MaxQueue = 7
+	h := tablesHistory{}.with(before).with(before.WithRoutes(edited))
+	got := 0
+	for _, c := range h.since(before.Revision) {
+		got += c.Rows()
+	}
+	if want := 1; got != want {
+		t.Errorf("rows sent for an edit of one row: got %d, want %d", got, want)
+	}
+}
