Tests: limited plans reach every group although all agents gain something

Callers would see tasks that never start at high load although an agent has room. Since plans remember what fitted nowhere, TestPlanLimitReachesEveryGroup passes if a plan doesn't begin with the group that the one before didn't reach; the new test drops that memory before each plan.

With planResumesAt never set: placements: got 0, want 1

--- a/flow/planlimit_test.go
+++ b/flow/planlimit_test.go
@@ -92,3 +92,24 @@
 		s.commit(notch.PlaceRuns{Token: 2, Placements: placed})
 	}
 }
+
+// TestLimitedPlansReachEveryGroup guards against groups that no plan reaches, because all agents have
+// gained something since the plan before and each plan begins with the same groups.
+func TestLimitedPlansReachEveryGroup(t *testing.T) {
+	const agents, unplaceable = 1000, 200
+	const scores = (unplaceable + 1) * agents
+	s := newTestLeader(agents)
+	s.submitUnplaceable(unplaceable)
+	s.submit("last", 1)
+	placed := 0
+	for range scores/(maxScores/2) + 1 { // half of each plan goes to the most urgent groups
+		for i := range agents {
+			s.answerRenewal(i)
+		}
+		s.forgetPlans()
+		placed += len(s.plan())
+	}
+	if got, want := placed, 1; got != want {
+		t.Errorf("placements: got %d, want %d", got, want)
+	}
+}
