Tests: a group looks up the coefficient of a service image once

Callers would see late starts at high load, as plans take the leader's time. In TestPlanLooksUpCoefficientsOncePerGroup the groups are too large for any agent, so that they look up nothing themselves (240 of 840 look-ups, all for the loads on the agents); it passes if a group looks each service image up again for each agent.

--- a/flow/plan_test.go
+++ b/flow/plan_test.go
@@ -136,3 +136,22 @@
 		t.Errorf("interference coefficients looked up: got %d, want at most %d", got, most)
 	}
 }
+
+// TestGroupLooksUpCoefficientOncePerImage guards against a plan that looks up the interference of a
+// group with the same service image again for each agent.
+func TestGroupLooksUpCoefficientOncePerImage(t *testing.T) {
+	const agents = 40
+	count := &countingPolicy{}
+	s := newTestLeader(agents, WithPolicy(count.policy()))
+	for i := range agents {
+		s.colocate(i)
+	}
+	st := notch.Stage{Count: 1, Size: notch.Resources{MilliCPU: 1000, MemoryMB: 100}, Fills: true, Image: "o0"}
+	s.commit(notch.SubmitWorkflow{Flow: notch.Workflow{ID: "f", Route: "r", Stages: []notch.Stage{st}}})
+	count.coefficients = 0
+	s.plan()
+	views := agents * serviceImagesPerAgent * opportunisticPerAgent
+	if got, most := count.coefficients, views+serviceImageCount+serviceImagesPerAgent; got > most {
+		t.Errorf("interference coefficients looked up: got %d, want at most %d", got, most)
+	}
+}
