Tests: the messages of consensus and of entries' leases pass queued events

Callers would see entries that refuse requests while a loop has a long batch: a grant, or the answer to the question after the leader, waits behind it.

--- a/engine/loop_test.go
+++ b/engine/loop_test.go
@@ -193,3 +193,27 @@
 		t.Errorf("first message: got %s, want %s", got, want)
 	}
 }
+
+// Guards against elections, replication and leases that wait behind a long batch: their messages are
+// reduced before it, whichever way they go.
+func TestUrgentMessagesPassQueuedEvents(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, time.Hour)
+	l.post(notch.CommandSubmitted{Ticket: 1})
+	<-r.started
+	l.post(notch.ServerAnnounced{})
+	for _, m := range []notch.Message{
+		notch.VoteRequest{}, notch.VoteReply{}, notch.AppendRequest{}, notch.AppendReply{}, notch.InstallSnapshot{}, notch.TimeoutNow{},
+		notch.EntryReport{}, notch.EntryGrant{}, notch.LeaderQuery{}, notch.LeaderHint{},
+	} {
+		l.post(notch.MessageReceived{From: "b", Message: m})
+	}
+	r.release <- struct{}{}
+	l.close()
+
+	received := r.receivedOf(isEither[notch.MessageReceived, notch.ServerAnnounced])
+	queued := slices.IndexFunc(received, is[notch.ServerAnnounced])
+	for _, late := range received[queued+1:] {
+		t.Errorf("got %T after the queued event, want it before", late.(notch.MessageReceived).Message)
+	}
+}
