Tests: changes of the tables are compressed

Callers would see entries that refuse requests after a large edit: the whole tables take longer on an entry's link than its lease lasts. No test of the codec failed without the compression.

With flate.NoCompression: got 134961 bytes, <nil>, want at most 33735

--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 
@@ -125,3 +126,21 @@
 		t.Errorf("got another encoding, %v, want the first one", err)
 	}
 }
+
+// Guards against whole tables that take longer on an entry's slow link than a lease lasts: routes
+// resemble each other, so that compression takes off most of their size.
+func TestChangeIsCompressed(t *testing.T) {
+	routes := make([]notch.Route, 1000)
+	for i := range routes {
+		routes[i] = notch.Route{Name: fmt.Sprint("route-", i), Path: fmt.Sprintf("/route-%d/", i), Pool: "sorters"}
+	}
+	c := &notch.TablesChange{Revision: 2, Routes: []notch.Splice[notch.Route]{{Insert: routes}}}
+	plain, err := encMode.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := changes.encode(c)
+	if got, most := len(b), len(plain)/4; err != nil || got > most {
+		t.Errorf("got %d bytes, %v, want at most %d", got, err, most)
+	}
+}
