Tests: a leader with more work than it can do outlasts it

Callers would see unanswered jobs under a series of leaders. The new test gives it 0.22 of a core, at which some workflows are late, and checks that one leader stands and no promise is broken.

--- a/fake/burst_test.go
+++ b/fake/burst_test.go
@@ -42,6 +42,27 @@
 	}
 }
 
+// scarceCores is a share of a core with which a leader can't do all work of the load in time.
+const scarceCores = 0.22
+
+// TestLeaderOutlastsOverload guards against a leader that loses its quorum because it has more work
+// than it can do: some workflows are late then, and more of them under a series of leaders.
+func TestLeaderOutlastsOverload(t *testing.T) {
+	t.Parallel()
+	load := readAgentLoad(t, "testdata/agent-burst.yaml")
+	load.Cores = scarceCores
+	l := newLoadTest(t, load, *firstSeed)
+	first := l.term()
+	l.start()
+	l.runFor(l.load.Length + l.load.Bounds.Finish)
+	if last := l.term(); last != first || l.leaders() != 1 {
+		t.Errorf("seed %d: got term %d with %d leaders at the end, want one leader in term %d", *firstSeed, last, l.leaders(), first)
+	}
+	if got := len(l.Violations); got > 0 {
+		t.Errorf("seed %d: got %d promises broken, want none:\n%s", *firstSeed, got, strings.Join(l.Violations[:min(got, 12)], "\n"))
+	}
+}
+
 // runFor lets d pass and records when workflows complete.
 func (l *loadTest) runFor(d time.Duration) {
 	for end := l.Now() + d; l.Now() < end; {
