--- a/engine/loop_test.go
+++ b/engine/loop_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -50,6 +51,8 @@
 
 func isEither[T, U notch.Body](b notch.Body) bool { return is[T](b) || is[U](b) }
 
+func isAny(notch.Body) bool { return true }
+
 func startTestLoop(r recorder, tick time.Duration) *loop {
 	return newLoop(notch.NewState(r), &fixedClock{now: notch.Time(time.Hour)}, 1, tick, nil, func(notch.Effect) {})
 }
@@ -102,8 +105,8 @@
 	}
 }
 
-// The events of a burst share one flush, and so one sync of the journal, even if events of high
-// priority arrive in between.
+// Guards against a sync of the journal for each event of a burst: events of high priority that
+// arrive in between must not end the batch.
 func TestBurstSharesOneFlush(t *testing.T) {
 	r := newRecorder()
 	l := startTestLoop(r, time.Hour)
@@ -122,3 +125,89 @@
 		t.Errorf("events of the burst before its first flush: got %d, want %d", got, want)
 	}
 }
+
+// A replica campaigned, or stepped down, although the message that keeps it from doing so had
+// arrived, because a due tick was reduced first.
+func TestQueuedMessagePassesDueTick(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, testTick)
+	heartbeat := notch.MessageReceived{From: "b", Message: notch.AppendRequest{Term: 1}}
+	const rounds = 20 // a loop that doesn't prefer the message may choose it by chance
+	var before []int  // by round: the number of events received before the message was posted
+	for range rounds {
+		l.inspect(func(notch.State) {
+			time.Sleep(2 * testTick) // a tick is due
+			before = append(before, len(r.receivedOf(isAny)))
+			l.post(heartbeat)
+		})
+	}
+	l.close()
+
+	received := r.receivedOf(isAny)
+	for round, n := range before {
+		if got := received[n]; !is[notch.MessageReceived](got) {
+			t.Errorf("round %d: got %T first, want %T", round, got, heartbeat)
+		}
+	}
+}
+
+// A leader committed nothing while its loop reduced a long batch, because the outcomes of the syncs
+// waited behind the whole batch.
+func TestSyncPassesQueuedEvents(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, time.Hour)
+	l.post(notch.CommandSubmitted{Ticket: 1})
+	<-r.started
+	l.post(notch.ServerAnnounced{})
+	l.post(notch.Persisted{Term: 1, Index: 2})
+	r.release <- struct{}{}
+	l.close()
+
+	got := r.receivedOf(isEither[notch.ServerAnnounced, notch.Persisted])
+	want := []notch.Body{notch.Persisted{Term: 1, Index: 2}, notch.ServerAnnounced{}}
+	if !slices.Equal(got, want) {
+		t.Errorf("order of events: got %+v, want %+v", got, want)
+	}
+}
+
+// Guards against a leader that forgets the lease of an entry's new process: the process's first
+// report must not overtake the message by which the process before it left.
+func TestReportFollowsLeave(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, time.Hour)
+	l.post(notch.CommandSubmitted{Ticket: 1})
+	<-r.started
+	l.post(notch.MessageReceived{From: "e", Message: notch.LeaveMessage{}})
+	l.post(notch.MessageReceived{From: "e", Message: notch.EntryReport{Incarnation: 2}})
+	r.release <- struct{}{}
+	l.close()
+
+	first := r.receivedOf(is[notch.MessageReceived])[0].(notch.MessageReceived)
+	if got, want := fmt.Sprintf("%T", first.Message), "notch.LeaveMessage"; got != want {
+		t.Errorf("first message: got %s, want %s", got, want)
+	}
+}
+
+// Guards against elections, replication and leases that wait behind a long batch: their messages are
+// reduced before it, whichever way they go.
+func TestUrgentMessagesPassQueuedEvents(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, time.Hour)
+	l.post(notch.CommandSubmitted{Ticket: 1})
+	<-r.started
+	l.post(notch.ServerAnnounced{})
+	for _, m := range []notch.Message{
+		notch.VoteRequest{}, notch.VoteReply{}, notch.AppendRequest{}, notch.AppendReply{}, notch.InstallSnapshot{}, notch.TimeoutNow{},
+		notch.EntryReport{}, notch.EntryGrant{}, notch.LeaderQuery{}, notch.LeaderHint{},
+	} {
+		l.post(notch.MessageReceived{From: "b", Message: m})
+	}
+	r.release <- struct{}{}
+	l.close()
+
+	received := r.receivedOf(isEither[notch.MessageReceived, notch.ServerAnnounced])
+	queued := slices.IndexFunc(received, is[notch.ServerAnnounced])
+	for _, late := range received[queued+1:] {
+		t.Errorf("got %T after the queued event, want it before", late.(notch.MessageReceived).Message)
+	}
+}
