--- a/link/contact_test.go
+++ b/link/contact_test.go
@@ -76,6 +76,7 @@
 	*stallingProxy
 	sender   *Link
 	received chan notch.Message // at b
+	lost     chan struct{}      // receives a value when the sender's session ends
 }
 
 // newProxiedLink returns a link that is established, and stalls in one direction from then on.
@@ -96,10 +97,13 @@
 	go server.Serve(listener)
 	proxy := newStallingProxy(t, listener.Addr().String(), stalled)
 	t.Cleanup(func() { proxy.Close() })
-	linked := make(chan struct{}, 1)
+	linked, lost := make(chan struct{}, 100), make(chan struct{}, 100)
 	sender := New([]byte("k"), notch.Hello{Daemon: notch.Daemon{Name: "a"}}, func(b notch.Body) {
-		if _, ok := b.(notch.PeerUp); ok {
+		switch b.(type) {
+		case notch.PeerUp:
 			linked <- struct{}{}
+		case notch.PeerDown:
+			lost <- struct{}{}
 		}
 	})
 	t.Cleanup(func() { sender.Close() })
@@ -107,7 +111,7 @@
 	<-linked
 	close(proxy.stall)
 	t.Cleanup(func() { close(proxy.end) })
-	return proxiedLink{stallingProxy: proxy, sender: sender, received: received}
+	return proxiedLink{stallingProxy: proxy, sender: sender, received: received, lost: lost}
 }
 
 // Guards against replicas that lose contact while a large message is written: it took 400 ms for a
@@ -132,6 +136,24 @@
 	}
 }
 
+// Guards against replicas that keep contact only once the connection with a large message has
+// failed, and the next session sends what waited.
+func TestContactDoesNotWaitForNextSession(t *testing.T) {
+	t.Parallel()
+	l := newProxiedLink(t, dialler)
+	l.sender.Send("b", notch.Outcome{Result: notch.TablesResult{Tables: notch.Tables{Document: string(make([]byte, 32<<20))}}})
+	for {
+		l.sender.Send("b", notch.AppendReply{Term: 2, OK: true})
+		select {
+		case <-l.received:
+			return
+		case <-l.lost:
+			t.Fatal("got no answer before the session ended, want one while the large message is written")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
 // Guards against messages that wait for the answer to a ping, which a busy peer sends late.
 func TestMessagesDontWaitForPing(t *testing.T) {
 	t.Parallel()
