flow: the leader checks an agent's room again before it sends a start

Cause: a plan whose placements aren't committed within a second is made again, without the runs of the first one. The first entry is in the leader's log and is committed all the same; then the placements of the second that it doesn't contradict task by task apply too. The second check that docs/PLATFORM.md names looked at the task and the agent's incarnation, not at its size, the limit or draining.

Evidence, before: flow-late-placements.txtar:24: unexpected match for `Kind:start` found in stdout flow-withdrawn.txtar:13: unexpected match for `Kind:start` found in stdout

Why this works: a start is sent only by the leader that placed the run, when it applies the entry. There it now compares the agent's size less what its runs reserve, the runs of the group on the agent, and draining; if the run doesn't fit, it sends no start and proposes at once that the run never started. That the run holds its reservation until then makes the check stricter, never laxer. If the proposal is lost, the run ends like one whose start wasn't answered; a later leader ends it because its placement has an older token and no list shows it. The end makes the task wait again, and plans look again: the end is a change of their input, and what plans remembered is dropped.

Builds in one cluster: what an entry changes stays as it is, and so do the formats. Commands have no version, replicas announce no features and the codec skips unknown fields, so a check that decides whether the placement is applied, even one that a field of the entry asks for, would make replicas of the earlier build disagree about the runs. During a rolling update a leader of the earlier build still sends such starts.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -136,7 +136,9 @@
 }
 
 // placeRuns adds the placed runs, and sends their starts if this leader placed them. It skips the
-// placements that no longer fit the state of their task or agent.
+// placements that no longer fit the state of their task or the incarnation of their agent. Whether
+// an agent has room only decides whether the start is sent: replicas of an earlier build don't check
+// it, and all replicas must derive the same state from an entry.
 func (s *stepper) placeRuns(c notch.PlaceRuns, at notch.Time) {
 	s.placementsProposedAt = 0
 	for _, pl := range c.Placements {
@@ -146,9 +148,15 @@
 			continue
 		}
 		r := notch.Run{Number: t.Latest + 1, Life: pl.Life, Token: c.Token, Since: at}
+		st := &w.Flow.Stages[pl.Task.Stage]
+		accepts := s.mayAdd(a, pl.Task, st)
 		s.putWorkflow(w.WithTask(pl.Task, t.WithRun(r), at))
 		ref := notch.RunRef{Task: pl.Task, Number: r.Number}
-		s.addRun(a.ID, ref, &w.Flow.Stages[pl.Task.Stage])
+		s.addRun(a.ID, ref, st)
+		if !accepts {
+			s.withdrawRun(a, ref, r)
+			continue
+		}
 		s.startRun(a, w.Flow.Spec, ref, r, t.Saved)
 	}
 	s.count("runs-placed", len(c.Placements))
@@ -167,6 +175,16 @@
 	return w, t, a, fits
 }
 
+// mayAdd reports whether one more task of a stage may start on an agent. The plan checked that, but
+// placements that it didn't know of may have been committed since, or the agent may be draining.
+func (s *stepper) mayAdd(a notch.Agent, task notch.TaskRef, st *notch.Stage) bool {
+	load, _ := s.loads.Get(a.ID)
+	if a.Draining || !st.Reserved().Fits(a.Size.Minus(load.reserved)) {
+		return false
+	}
+	return st.PerAgent == 0 || load.countGroup(groupOf(task)) < st.PerAgent
+}
+
 func (s *stepper) endRuns(c notch.EndRuns, at notch.Time) {
 	for _, e := range c.Ends {
 		s.endRun(c.Life, e, at)
--- a/flow/load.go
+++ b/flow/load.go
@@ -54,6 +54,18 @@
 	return l
 }
 
+// countGroup returns the number of runs of tasks of a group, which is identified by a TaskRef with
+// Index 0.
+func (l agentLoad) countGroup(group notch.TaskRef) int {
+	n := 0
+	for _, r := range l.runs {
+		if groupOf(r.ref.Task) == group {
+			n++
+		}
+	}
+	return n
+}
+
 // hasServiceTask reports whether a service task runs on the agent.
 func (l agentLoad) hasServiceTask() bool {
 	return slices.ContainsFunc(l.runs, func(r agentRun) bool { return r.stage.Target > 0 })
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -44,13 +44,12 @@
 
 // startRun sends the start of a run that was just committed, if this leader placed it.
 func (s *stepper) startRun(a notch.Agent, spec string, ref notch.RunRef, r notch.Run, saved string) {
-	if !s.leads() || r.Token != s.leadership.Term {
+	if !s.placedHere(r) {
 		return
 	}
 	session, ok := s.sessions.Get(a.ID)
 	if !ok || !s.mayOrder() {
-		// No start is sent. The run is abandoned like one whose start wasn't answered.
-		s.runOrders = s.runOrders.Set(ref, runOrders{startOutcome: notch.AgentNoAnswer, startAnsweredAt: s.now})
+		s.withholdStart(ref)
 		return
 	}
 	o := notch.AgentOrder{
@@ -63,6 +62,28 @@
 	s.sendOrder(a, o)
 }
 
+// placedHere reports whether this leader placed a run. No other replica ever sends its start.
+func (s *stepper) placedHere(r notch.Run) bool { return s.leads() && r.Token == s.leadership.Term }
+
+// withholdStart records that the start of a run that this leader placed isn't sent. The run is
+// abandoned like one whose start wasn't answered.
+func (s *stepper) withholdStart(ref notch.RunRef) {
+	s.runOrders = s.runOrders.Set(ref, runOrders{startOutcome: notch.AgentNoAnswer, startAnsweredAt: s.now})
+}
+
+// withdrawRun ends a run that was just committed, if this leader placed it, without sending its
+// start.
+func (s *stepper) withdrawRun(a notch.Agent, ref notch.RunRef, r notch.Run) {
+	s.planMemory = planMemory{} // the plan counted on this run
+	if !s.placedHere(r) {
+		return
+	}
+	s.logMessage("run withdrawn: its agent no longer accepts it", runFields(ref, a.ID, string(notch.RunNotStarted))...)
+	s.count("runs-withdrawn", 1)
+	s.withholdStart(ref)
+	s.propose(notch.EndRuns{Life: r.Life, Ends: []notch.RunEnd{{Run: ref, Kind: notch.RunNotStarted}}})
+}
+
 // stopRun sends a stop, unless one is under way or was confirmed recently.
 func (s *stepper) stopRun(a notch.Agent, ref notch.RunRef) {
 	orders, _ := s.runOrders.Get(ref)
