graph: a change of one task copies no other task

Cause: the work grew with tasks times changes. Workflow.WithTask copied the whole row of the stage, and all rows' headers and counts, for each run that was placed or ended; and each end `done`, as each end in a workflow that had ended, looked for runs to stop among all tasks.

Why this works: a group (the tasks of one stage in one round) is a value with a persistent list of pointers to tasks that are never modified, and its counts; the workflow holds a persistent list of groups and the sums. A change copies one node a level. The runs of all tasks are walked once, when the workflow ends or is cancelled; an end `done` looks at its own task only. EachWaiting begins at the first task that may wait.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -222,8 +222,11 @@
 	next := w.WithTask(e.Run.Task, s.taskAfterEnd(w, st, t.WithoutRun(r.Number), e, at), at)
 	s.putWorkflow(next)
 	s.count("runs-"+string(e.Kind), 1)
-	if next.State.Ended() || e.Kind == notch.RunDone {
+	switch {
+	case next.State.Ended() && !w.State.Ended():
 		s.stopUnwanted(next)
+	case e.Kind == notch.RunDone:
+		s.stopUnwantedOf(next, e.Run.Task)
 	}
 }
 
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -174,15 +174,34 @@
 	}
 }
 
-// stopUnwanted stops the runs of a workflow that may not run any more.
+// stopUnwanted stops the runs of a workflow that may not run any more. It looks at all tasks; a stop
+// that isn't confirmed is ordered again when the agent lists the run.
 func (s *stepper) stopUnwanted(w *graph.Workflow) {
 	if !s.mayOrder() {
 		return
 	}
 	w.EachRun(func(ref notch.TaskRef, t notch.WorkflowTask, r notch.Run) {
-		a, ok := s.agents.Get(r.Life.Agent)
-		if ok && a.Incarnation() == r.Life && !w.MayRun(t) {
-			s.stopRun(a, notch.RunRef{Task: ref, Number: r.Number})
+		if !w.MayRun(t) {
+			s.stopPlaced(ref, r)
 		}
 	})
 }
+
+// stopUnwantedOf stops the runs of one task if it may not run any more.
+func (s *stepper) stopUnwantedOf(w *graph.Workflow, ref notch.TaskRef) {
+	t, ok := w.Task(ref)
+	if !ok || w.MayRun(t) {
+		return
+	}
+	for _, r := range t.Runs {
+		s.stopPlaced(ref, r)
+	}
+}
+
+// stopPlaced stops a run on the incarnation of the agent on which it was placed, unless that has ended.
+func (s *stepper) stopPlaced(task notch.TaskRef, r notch.Run) {
+	a, ok := s.agents.Get(r.Life.Agent)
+	if ok && a.Incarnation() == r.Life {
+		s.stopRun(a, notch.RunRef{Task: task, Number: r.Number})
+	}
+}
--- a/flow/views.go
+++ b/flow/views.go
@@ -175,11 +175,9 @@
 	if !ok {
 		return out
 	}
-	for _, t := range w.Tasks[w.GroupIndex(stage.Round, stage.Stage)] {
-		for _, r := range t.Runs {
-			out[r.Life.Agent]++
-		}
-	}
+	w.EachGroupRun(w.GroupIndex(stage.Round, stage.Stage), func(_ notch.TaskRef, _ notch.WorkflowTask, r notch.Run) {
+		out[r.Life.Agent]++
+	})
 	return out
 }
 
--- a/graph/graph.go
+++ b/graph/graph.go
@@ -6,62 +6,77 @@
 	"slices"
 	"time"
 
+	"github.com/benbjohnson/immutable"
+
 	notch "tamaracknotch"
 )
 
 // Workflow is a workflow with its tasks and with counts derived from them. Values are shared
 // and must not be modified.
 type Workflow struct {
-	notch.WorkflowRecord
-	unfinished    []int           // number of tasks that are not done, by group
-	waiting       []int           // number of open tasks without a run, by group
-	liveRuns      int             // number of runs that aren't known to have ended
-	criticalPaths []time.Duration // by stage
+	Flow          notch.Workflow
+	At            notch.Time // when it was accepted, by the clock of the leader that proposed it
+	Ended         notch.Time
+	State         notch.WorkflowState
+	groups        *immutable.List[*group] // one for each stage of each round; empty once they were dropped
+	unfinished    int                     // number of tasks that are not done
+	waiting       int                     // number of open tasks without a run
+	liveRuns      int                     // number of runs that aren't known to have ended
+	criticalPaths []time.Duration         // by stage
 }
 
 // New returns a workflow that was accepted at the given time and has no runs yet.
-func New(w notch.Workflow, at notch.Time) *Workflow {
-	r := notch.WorkflowRecord{Flow: w, At: at, State: notch.WorkflowQueued}
-	for range w.RoundCount() {
-		for _, st := range w.Stages {
-			tasks := make([]notch.WorkflowTask, st.Count)
-			for i := range tasks {
-				tasks[i].Idle = at
-			}
-			r.Tasks = append(r.Tasks, tasks)
+func New(f notch.Workflow, at notch.Time) *Workflow {
+	w := &Workflow{Flow: f, At: at, State: notch.WorkflowQueued, criticalPaths: criticalPaths(f.Stages)}
+	var round []*group // the rounds share them until their tasks change
+	for _, st := range f.Stages {
+		round = append(round, newGroup(st.Count, at))
+	}
+	groups := immutable.NewListBuilder[*group]()
+	for range f.RoundCount() {
+		for _, g := range round {
+			groups.Append(g)
+			w.unfinished += g.unfinished
+			w.waiting += g.waiting
 		}
 	}
-	return Restore(r)
+	w.groups = groups.List()
+	return w
 }
 
 // Restore returns the workflow of a record.
 func Restore(r notch.WorkflowRecord) *Workflow {
-	w := &Workflow{WorkflowRecord: r}
-	for _, tasks := range r.Tasks {
-		unfinished, waiting := 0, 0
-		for _, t := range tasks {
+	w := &Workflow{Flow: r.Flow, At: r.At, Ended: r.Ended, State: r.State, criticalPaths: criticalPaths(r.Flow.Stages)}
+	groups := immutable.NewListBuilder[*group]()
+	for _, row := range r.Tasks {
+		g := restoreGroup(row)
+		groups.Append(g)
+		w.unfinished += g.unfinished
+		w.waiting += g.waiting
+		for _, t := range row {
 			w.liveRuns += len(t.Runs)
-			if t.State != notch.TaskDone {
-				unfinished++
-			}
-			waiting += countWaiting(t)
 		}
-		w.unfinished = append(w.unfinished, unfinished)
-		w.waiting = append(w.waiting, waiting)
 	}
-	w.criticalPaths = criticalPaths(r.Flow.Stages)
+	w.groups = groups.List()
 	return w
 }
 
 // Record returns the part of the workflow that snapshots contain.
-func (w *Workflow) Record() notch.WorkflowRecord { return w.WorkflowRecord }
+func (w *Workflow) Record() notch.WorkflowRecord {
+	out := notch.WorkflowRecord{Flow: w.Flow, At: w.At, Ended: w.Ended, State: w.State}
+	for it := w.groups.Iterator(); !it.Done(); {
+		_, g := it.Next()
+		out.Tasks = append(out.Tasks, g.row())
+	}
+	return out
+}
 
 // LiveRuns returns the number of runs that aren't known to have ended.
 func (w *Workflow) LiveRuns() int { return w.liveRuns }
 
 // GroupCount returns the number of groups: rounds times stages. A group is the tasks of one
 // stage in one round.
-func (w *Workflow) GroupCount() int { return len(w.Tasks) }
+func (w *Workflow) GroupCount() int { return w.groups.Len() }
 
 // GroupIndex returns the position of the group of a round's stage.
 func (w *Workflow) GroupIndex(round, stage int) int { return round*len(w.Flow.Stages) + stage }
@@ -81,10 +96,10 @@
 		return notch.WorkflowTask{}, false
 	}
 	g := w.GroupIndex(t.Round, t.Stage)
-	if g >= len(w.Tasks) || t.Index >= len(w.Tasks[g]) {
+	if g >= w.groups.Len() || t.Index >= w.groups.Get(g).tasks.Len() {
 		return notch.WorkflowTask{}, false
 	}
-	return w.Tasks[g][t.Index], true
+	return *w.groups.Get(g).tasks.Get(t.Index), true
 }
 
 // RoundDueAt returns when a round is due, as Unix time in ms; 0: immediately.
@@ -103,7 +118,7 @@
 		return false
 	}
 	for _, a := range w.Stage(group).After {
-		if w.unfinished[w.GroupIndex(round, a)] > 0 {
+		if w.Unfinished(w.GroupIndex(round, a)) > 0 {
 			return false
 		}
 	}
@@ -111,56 +126,30 @@
 }
 
 // Unfinished returns the number of tasks of a group that aren't done.
-func (w *Workflow) Unfinished(group int) int { return w.unfinished[group] }
+func (w *Workflow) Unfinished(group int) int { return w.groups.Get(group).unfinished }
 
 // HasWaiting reports whether a task of the workflow is open, may have runs and has none.
-func (w *Workflow) HasWaiting() bool {
-	return !w.State.Ended() && slices.ContainsFunc(w.waiting, func(n int) bool { return n > 0 })
-}
+func (w *Workflow) HasWaiting() bool { return !w.State.Ended() && w.waiting > 0 }
 
 // Waiting returns the number of tasks of a group that are open and have no run.
-func (w *Workflow) Waiting(group int) int { return w.waiting[group] }
+func (w *Workflow) Waiting(group int) int { return w.groups.Get(group).waiting }
 
 // EachWaiting calls f for each task of a group that is open and has no run, until f returns
 // false.
 func (w *Workflow) EachWaiting(group int, f func(ref notch.TaskRef, t notch.WorkflowTask) bool) {
-	tasks := w.Tasks[group]
-	left := w.waiting[group]
-	for i := 0; left > 0; i++ {
-		if countWaiting(tasks[i]) == 0 {
-			continue
-		}
-		if left--; !f(w.TaskRef(group, i), tasks[i]) {
-			return
-		}
-	}
-}
-
-// countWaiting returns 1 for an open task without a run, otherwise 0.
-func countWaiting(t notch.WorkflowTask) int {
-	if t.State == notch.TaskOpen && len(t.Runs) == 0 {
-		return 1
-	}
-	return 0
+	w.groups.Get(group).eachWaiting(func(i int, t notch.WorkflowTask) bool { return f(w.TaskRef(group, i), t) })
 }
 
 // WithTask returns the workflow with one task replaced, and with the state that follows from it.
 func (w *Workflow) WithTask(ref notch.TaskRef, t notch.WorkflowTask, at notch.Time) *Workflow {
-	g := w.GroupIndex(ref.Round, ref.Stage)
-	old := w.Tasks[g][ref.Index]
+	i := w.GroupIndex(ref.Round, ref.Stage)
+	old := w.groups.Get(i)
+	changed := old.withTask(ref.Index, t)
 	next := *w
-	next.Tasks = slices.Clone(w.Tasks)
-	next.Tasks[g] = slices.Clone(w.Tasks[g])
-	next.Tasks[g][ref.Index] = t
-	next.liveRuns += len(t.Runs) - len(old.Runs)
-	if old.State != notch.TaskDone && t.State == notch.TaskDone {
-		next.unfinished = slices.Clone(w.unfinished)
-		next.unfinished[g]--
-	}
-	if change := countWaiting(t) - countWaiting(old); change != 0 {
-		next.waiting = slices.Clone(w.waiting)
-		next.waiting[g] += change
-	}
+	next.groups = w.groups.Set(i, changed)
+	next.unfinished += changed.unfinished - old.unfinished
+	next.waiting += changed.waiting - old.waiting
+	next.liveRuns += len(t.Runs) - len(old.tasks.Get(ref.Index).Runs)
 	return next.deriveState(t, at)
 }
 
@@ -171,7 +160,7 @@
 	case w.State.Ended():
 	case t.State == notch.TaskFailed:
 		w.State, w.Ended = notch.WorkflowFailed, at
-	case !slices.ContainsFunc(w.unfinished, func(n int) bool { return n > 0 }):
+	case w.unfinished == 0:
 		w.State, w.Ended = notch.WorkflowCompleted, at
 	case w.State == notch.WorkflowQueued && w.liveRuns > 0:
 		w.State = notch.WorkflowRunning
@@ -183,7 +172,7 @@
 // runs left. It modifies w, which must be a copy that isn't shared yet.
 func (w *Workflow) dropUnneeded() *Workflow {
 	if w.State.Ended() && w.liveRuns == 0 {
-		w.Tasks, w.unfinished, w.waiting, w.criticalPaths = nil, nil, nil, nil
+		w.groups, w.unfinished, w.waiting, w.criticalPaths = immutable.NewList[*group](), 0, 0, nil
 		w.Flow = notch.Workflow{ID: w.Flow.ID, Route: w.Flow.Route, Pool: w.Flow.Pool, Terms: w.Flow.Terms}
 	}
 	return w
@@ -209,11 +198,17 @@
 	if w.liveRuns == 0 {
 		return
 	}
-	for g, tasks := range w.Tasks {
-		for i, t := range tasks {
-			for _, r := range t.Runs {
-				f(w.TaskRef(g, i), t, r)
-			}
+	for g := range w.groups.Len() {
+		w.EachGroupRun(g, f)
+	}
+}
+
+// EachGroupRun calls f for every run of a group that isn't known to have ended.
+func (w *Workflow) EachGroupRun(group int, f func(ref notch.TaskRef, t notch.WorkflowTask, r notch.Run)) {
+	for it := w.groups.Get(group).tasks.Iterator(); !it.Done(); {
+		i, t := it.Next()
+		for _, r := range t.Runs {
+			f(w.TaskRef(group, i), *t, r)
 		}
 	}
 }
--- a/graph/graph_test.go
+++ b/graph/graph_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,7 +30,7 @@
 				break
 			}
 			g := rapid.IntRange(0, w.GroupCount()-1).Draw(t, "group")
-			ref := w.TaskRef(g, rapid.IntRange(0, len(w.Tasks[g])-1).Draw(t, "index"))
+			ref := w.TaskRef(g, rapid.IntRange(0, w.groups.Get(g).tasks.Len()-1).Draw(t, "index"))
 			task, _ := w.Task(ref)
 			switch {
 			case len(task.Runs) > 0:
@@ -50,18 +52,28 @@
 	if w.State.Ended() {
 		return
 	}
-	live := 0
+	live, allUnfinished, allWaiting := 0, 0, 0
 	for g := range w.GroupCount() {
 		unfinished, waiting := 0, 0
-		for _, task := range w.Tasks[g] {
+		var wantWaiting, gotWaiting []int
+		for i, task := range w.groups.Get(g).row() {
 			live += len(task.Runs)
 			if task.State != notch.TaskDone {
 				unfinished++
 			}
 			if task.State == notch.TaskOpen && len(task.Runs) == 0 {
 				waiting++
+				wantWaiting = append(wantWaiting, i)
 			}
 		}
+		w.EachWaiting(g, func(ref notch.TaskRef, _ notch.WorkflowTask) bool {
+			gotWaiting = append(gotWaiting, ref.Index)
+			return true
+		})
+		if got, want := gotWaiting, wantWaiting; !slices.Equal(got, want) {
+			t.Fatalf("indexes of the waiting tasks of group %d: got %v, want %v", g, got, want)
+		}
+		allUnfinished, allWaiting = allUnfinished+unfinished, allWaiting+waiting
 		if got, want := w.Waiting(g), waiting; got != want {
 			t.Fatalf("waiting tasks of group %d: got %d, want %d", g, got, want)
 		}
@@ -72,10 +84,25 @@
 	if got, want := w.LiveRuns(), live; got != want {
 		t.Fatalf("runs: got %d, want %d", got, want)
 	}
+	if got, want := fmt.Sprint(w.unfinished, w.waiting), fmt.Sprint(allUnfinished, allWaiting); got != want {
+		t.Fatalf("tasks that are unfinished and that wait: got %s, want %s", got, want)
+	}
 	again := Restore(w.Record())
-	if got, want := fmt.Sprint(again.LiveRuns(), again.unfinished, again.waiting), fmt.Sprint(w.LiveRuns(), w.unfinished, w.waiting); got != want {
+	if got, want := countsOf(again), countsOf(w); got != want {
 		t.Fatalf("restored: got %s, want %s", got, want)
 	}
+	if got, want := again.Record(), w.Record(); !reflect.DeepEqual(got, want) {
+		t.Fatalf("record of the restored workflow: got %+v, want %+v", got, want)
+	}
+}
+
+// countsOf returns the counts that the workflow maintains, in all and by group.
+func countsOf(w *Workflow) string {
+	out := fmt.Sprint(w.liveRuns, w.unfinished, w.waiting)
+	for g := range w.GroupCount() {
+		out += fmt.Sprint(" ", w.Unfinished(g), w.Waiting(g))
+	}
+	return out
 }
 
 // ExampleWorkflow_CriticalPath shows the run time from which the objective of a workflow is derived.
