flow: count the lease that a late order may grant a restarted agent

What callers saw: a task may run twice (TWICE). An agent that restarts under its id and is cut off soon after runs on while its runs are given up and placed elsewhere.

Cause: a clock starts anew with each incarnation, so the deadline of an order to the earlier one grants a lease of up to the agent's limit (holdMaxMs). Any late order of an earlier session, a start or a renewal, did the same before.

Fix: an incarnation that has answered an order of its own session has seen that session's higher token, and ignores orders to earlier ones from then on. So the longest lease (--agent-max-lease, 10 s) from the clock's first reading counts as granted. No answer is needed to know that the session's runs came after that reading: runs are placed on agents that have answered only. A leader elected later counts the longest lease from the oldest run on that incarnation, or from its clock in the log, and from its own first answer if it knows neither. An id that wasn't known before has no earlier incarnation; its runs are given up as before.

The stand-in shortens leases to 10 s, as agents do.

--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -27,7 +27,7 @@
 	entryTiming := share.DefaultTiming
 	entryTiming.Lease = time.Duration(s.EntryLease)
 	agentTiming := flow.DefaultTiming
-	agentTiming.Lease = time.Duration(s.AgentLease)
+	agentTiming.Lease, agentTiming.MaxLease = time.Duration(s.AgentLease), time.Duration(s.AgentMaxLease)
 	parts := []notch.Part{member.New(self, storage, cluster), gateway.New(self.Name)}
 	if self.Replica {
 		parts = append(parts, consensus.New(notch.Replica{Name: self.Name, Storage: storage}, consensus.WithTargetVoters(s.Replicas)))
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -38,6 +38,7 @@
 	Replicas      int      `arg:"--replicas,env:NOTCH_REPLICAS" help:"number of voters that the leader chooses among the daemons with a data folder; 0: the pool control lists the voters" placeholder:"N"`
 	EntryLease    Duration `arg:"--entry-lease,env:NOTCH_ENTRY_LEASE" default:"3s" help:"how long an entry serves without a message from the leader, and so the longest time until an edit is in force" placeholder:"DURATION"`
 	AgentLease    Duration `arg:"--agent-lease,env:NOTCH_AGENT_LEASE" default:"5s" help:"how long the tasks on a worker that takes orders keep running without a lease renewal from the leader" placeholder:"DURATION"`
+	AgentMaxLease Duration `arg:"--agent-max-lease,env:NOTCH_AGENT_MAX_LEASE" default:"10s" help:"the longest lease that a worker takes, as it shortens longer ones" placeholder:"DURATION"`
 	DataDir       string   `arg:"--data-dir,env:NOTCH_DATA_DIR" help:"folder for the control state; makes this daemon a control replica once the pool control lists its name" placeholder:"FOLDER"`
 	Bootstrap     bool     `arg:"--bootstrap,env:NOTCH_BOOTSTRAP" help:"begin a new cluster if the data folder is empty; set it once and on one daemon only, or on several daemons with the same --join: the daemon whose address comes first in text order begins the cluster"`
 	RecoverAlone  bool     `arg:"--recover-alone,env:NOTCH_RECOVER_ALONE" help:"continue as the only control replica after the majority of the control replicas is lost for good"`
@@ -146,7 +147,7 @@
 func Defaults(name, domain string) Settings {
 	return Settings{
 		Name: name, FailureDomain: domain, Listen: "127.0.0.1:0", Operators: "127.0.0.1:0", Link: "127.0.0.1:0",
-		Protocol: OwnProtocol, EntryLease: Duration(share.DefaultTiming.Lease), AgentLease: Duration(flow.DefaultTiming.Lease),
+		Protocol: OwnProtocol, EntryLease: Duration(share.DefaultTiming.Lease), AgentLease: Duration(flow.DefaultTiming.Lease), AgentMaxLease: Duration(flow.DefaultTiming.MaxLease),
 		Lanes: 2, StopTimeout: Duration(60 * time.Second), Policies: DefaultPolicies(), LogFormat: "text", LogLevel: "info",
 	}
 }
@@ -176,7 +177,7 @@
 	}
 	s.checkAddresses(fail)
 	s.checkKeys(fail)
-	for flag, d := range map[string]Duration{"--entry-lease": s.EntryLease, "--agent-lease": s.AgentLease} {
+	for flag, d := range map[string]Duration{"--entry-lease": s.EntryLease, "--agent-lease": s.AgentLease, "--agent-max-lease": s.AgentMaxLease} {
 		if d < Duration(minLease) || d > Duration(maxLease) {
 			fail(flag, time.Duration(d), "must be 500ms to 1m")
 		}
--- a/fake/agent.go
+++ b/fake/agent.go
@@ -46,6 +46,7 @@
 	agentAnnouncePeriod = time.Second
 	agentNetworkDelay   = 4 * time.Millisecond // one-way delay between a daemon and an agent
 	agentStopTime       = 50 * time.Millisecond
+	maxAgentLease       = 10 * time.Second // agents shorten longer leases
 	longRunTime         = 24 * time.Hour   // run time of a long-running task
 	maxOrderDelay       = 12 * time.Second // of a late order
 	minOrderDelay       = 2 * time.Second
@@ -193,7 +194,7 @@
 			refuse(notch.ReasonDeadlinePassed)
 			return
 		}
-		a.leaseEnd = max(a.leaseEnd, o.Deadline)
+		s.extendLease(a, o.Deadline)
 		if reason := s.startRun(a, o); reason != "" {
 			refuse(reason)
 			return
@@ -206,7 +207,7 @@
 			}
 		})
 	case notch.AgentRenew:
-		a.leaseEnd = max(a.leaseEnd, o.Deadline)
+		s.extendLease(a, o.Deadline)
 		s.acknowledgeEnds(a, o.Ack)
 		s.answerRenewal(a, o, reply)
 		return
@@ -214,6 +215,11 @@
 	reply(notch.AgentAnswer{Kind: notch.AgentOK, Clock: s.agentClock(a), Born: a.Born})
 }
 
+// extendLease extends the lease of an agent up to the deadline, by its clock in ms.
+func (s *Testbed) extendLease(a *Agent, deadline int64) {
+	a.leaseEnd = max(a.leaseEnd, min(deadline, s.agentClock(a)+maxAgentLease.Milliseconds()))
+}
+
 // startRun starts a run. It returns a reason if it refuses to, and does nothing if
 // the run is already in progress.
 func (s *Testbed) startRun(a *Agent, o notch.AgentOrder) notch.AgentReason {
--- a/fake/agentlease_test.go
+++ b/fake/agentlease_test.go
@@ -82,3 +82,32 @@
 		t.Error(w.Violations)
 	}
 }
+
+// A new leader's first order granted a lease by the clock of an agent's earlier incarnation, which
+// the next one under the same id takes as its own time. The leader doesn't count this lease, so it
+// gave up the runs of an agent that was cut off soon after, and started them elsewhere meanwhile.
+func TestNewLeaderGrantsRestartedAgentsNoLongerLease(t *testing.T) {
+	w := newWorkflowTest(t, 1)
+	size := notch.Resources{MilliCPU: 500, MemoryMB: 500}
+	short := notch.Stage{Count: len(w.agents), PerAgent: 1, Estimate: time.Second, Size: size}
+	w.submit(w.entries[0], notch.Workflow{ID: "short", Route: "sort", Pool: "sorters", Spec: "short", Stages: []notch.Stage{short}})
+	w.Run(6 * time.Second) // the agents' clocks are committed with the ends of the runs
+	w.Kill(w.leader(t))
+	for _, a := range w.agents {
+		w.KillAgent(a)
+	}
+	w.Run(500 * time.Millisecond)
+	for _, a := range w.agents {
+		w.StartAgent(a)
+	}
+	w.Run(2 * time.Second)
+	long := notch.Stage{Count: len(w.agents), Lasts: true, Size: size}
+	w.submit(w.entries[0], notch.Workflow{ID: "long", Route: "sort", Pool: "sorters", Spec: "long", Stages: []notch.Stage{long}})
+	w.Run(time.Second)
+	w.checkLongRuns(t, 1)
+	w.agents[0].CutOff = true
+	w.Run(10 * time.Second)
+	if len(w.Violations) > 0 {
+		t.Error(w.Violations)
+	}
+}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -25,6 +25,7 @@
 // Timing holds the durations of leases and decisions.
 type Timing struct {
 	Lease             time.Duration // of an agent, from the sending of an order
+	MaxLease          time.Duration // longest lease that an agent takes; it shortens longer ones
 	LongPoll          time.Duration // how long an agent may delay its answer to a lease renewal while no run ends
 	ColocatedLongPoll time.Duration // the same, while opportunistic tasks are colocated with service tasks
 	AnswerTimeout     time.Duration // of an order, in addition to the long poll
@@ -39,6 +40,7 @@
 // DefaultTiming suits agents with a round-trip time of some 10 ms.
 var DefaultTiming = Timing{
 	Lease:             5 * time.Second,
+	MaxLease:          10 * time.Second,
 	LongPoll:          time.Second,
 	ColocatedLongPoll: 600 * time.Millisecond,
 	AnswerTimeout:     time.Second,
@@ -154,7 +156,7 @@
 
 // Step implements [notch.Part].
 func (p Part) Step(e notch.Event) (notch.Part, []notch.Effect) {
-	s := stepper{Part: p, now: e.At, unixMilli: e.UnixMilli, seed: e.Seed}
+	s := stepper{Part: p, agentsBefore: p.agents, now: e.At, unixMilli: e.UnixMilli, seed: e.Seed}
 	switch b := e.Body.(type) {
 	case notch.Committed:
 		s.apply(b.Entry)
@@ -199,10 +201,11 @@
 // stepper is a Part during a step, with the effects so far.
 type stepper struct {
 	Part
-	now       notch.Time
-	unixMilli int64 // Unix time in ms
-	seed      uint64
-	out       []notch.Effect
+	agentsBefore *immutable.SortedMap[string, notch.Agent] // before the step
+	now          notch.Time
+	unixMilli    int64 // Unix time in ms
+	seed         uint64
+	out          []notch.Effect
 }
 
 func (s *stepper) emit(b notch.Body) { s.out = append(s.out, notch.Emit{Body: b}) }
--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -70,6 +70,11 @@
 // agent's clock is known if it was read for the log.
 func (s *stepper) formerLease(a notch.Agent, formerLeasesEnd notch.Time) lease.AgentLease {
 	l := lease.New(formerLeasesEnd)
+	if answeredAt, ok := s.answeredBefore(a.Incarnation()); ok {
+		l = lease.New(max(formerLeasesEnd, answeredAt.Add(lease.MaxDuration(s.timing.MaxLease))))
+	} else {
+		l = l.WithStaleGrants(s.timing.MaxLease)
+	}
 	if c, ok := s.agentClocks.Get(a.ID); ok && c.incarnation == a.Incarnation() {
 		// An old reading must not become a longer lease, whichever way the clock drifts.
 		l = l.WithClock(c.Min(s.now), s.now)
@@ -77,6 +82,22 @@
 	return l
 }
 
+// answeredBefore returns the earliest time before which an incarnation is known to have answered an
+// order to itself. From then on, orders to earlier incarnations have no effect. Runs are placed only
+// on incarnations that have answered.
+func (s *stepper) answeredBefore(incarnation notch.AgentIncarnation) (at notch.Time, ok bool) {
+	if c, known := s.agentClocks.Get(incarnation.Agent); known && c.incarnation == incarnation {
+		at, ok = c.ReadAt(), true
+	}
+	load, _ := s.loads.Get(incarnation.Agent)
+	for _, placed := range load.runs {
+		if r, known := s.run(placed.ref); known && r.Life == incarnation && (!ok || placed.addedAt.Before(at)) {
+			at, ok = placed.addedAt, true
+		}
+	}
+	return at, ok
+}
+
 // formerLeasesEnd returns when all leases have expired that former leaders granted up to the
 // given time.
 func (s *stepper) formerLeasesEnd(at notch.Time) notch.Time {
@@ -104,6 +125,10 @@
 	s.incarnations++
 	// No other leader has granted this incarnation a lease, but it may still carry out orders
 	// to the earlier incarnation.
-	s.sessions = s.sessions.Set(a.ID, agentSession{incarnation: a.Incarnation(), token: s.token(), lease: lease.New(now), staleOrdersUntil: now.Add(maxOrderDelay)})
+	l := lease.New(now)
+	if _, restarted := s.agentsBefore.Get(a.ID); restarted {
+		l = l.WithStaleGrants(s.timing.MaxLease)
+	}
+	s.sessions = s.sessions.Set(a.ID, agentSession{incarnation: a.Incarnation(), token: s.token(), lease: l, staleOrdersUntil: now.Add(maxOrderDelay)})
 	s.renewLease(a.ID)
 }
--- a/flow/load.go
+++ b/flow/load.go
@@ -17,8 +17,9 @@
 
 // agentRun is a run on an agent.
 type agentRun struct {
-	ref   notch.RunRef
-	stage *notch.Stage // never modified
+	ref     notch.RunRef
+	stage   *notch.Stage // never modified
+	addedAt notch.Time   // when this replica applied the placement
 }
 
 // withRun returns l with one more run.
@@ -62,7 +63,7 @@
 // addRun records a run on an agent.
 func (s *stepper) addRun(agent string, ref notch.RunRef, st *notch.Stage) {
 	l, _ := s.loads.Get(agent)
-	s.loads = s.loads.Set(agent, l.withRun(agentRun{ref: ref, stage: st}))
+	s.loads = s.loads.Set(agent, l.withRun(agentRun{ref: ref, stage: st, addedAt: s.now}))
 }
 
 // removeRun removes a run from an agent.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -38,11 +38,20 @@
 	return c.reading + int64(float64(now.Sub(c.readAt))*(1-MaxClockDrift)/float64(time.Millisecond))
 }
 
+// MaxDuration returns the longest time by the local clock that a lease of d by an agent's clock
+// lasts.
+func MaxDuration(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/(1-MaxClockDrift)) + expiryMargin
+}
+
 // AgentLease records what one leader has learned about an agent's clock and its lease.
 type AgentLease struct {
 	clock           AgentClock
 	grantedUntil    int64      // latest deadline sent, by the agent's clock in ms; 0: none
 	formerLeasesEnd notch.Time // the leases that former leaders granted end by then
+
+	staleGrant      time.Duration // longest lease that the agent may have taken before its clock was read; 0: none
+	staleGrantUntil int64         // when this lease ends, by the agent's clock in ms; 0: not known or none
 }
 
 // New returns the state of an agent that former leaders may have granted leases to. Those
@@ -51,8 +60,19 @@
 	return AgentLease{formerLeasesEnd: formerLeasesEnd}
 }
 
+// WithStaleGrants returns the state of an agent that may carry out orders to its earlier incarnation
+// until its own clock is read. Their deadlines are by the earlier incarnation's clock, so that each
+// may grant a lease of maxLease, the longest that an agent takes.
+func (l AgentLease) WithStaleGrants(maxLease time.Duration) AgentLease {
+	l.staleGrant = maxLease
+	return l
+}
+
 // WithClock returns the state after an answer that contained the agent's clock in ms.
 func (l AgentLease) WithClock(reading int64, receivedAt notch.Time) AgentLease {
+	if !l.clock.Known() && l.staleGrant != 0 {
+		l.staleGrantUntil = reading + l.staleGrant.Milliseconds()
+	}
 	if !l.clock.Known() || reading > l.clock.Min(receivedAt) {
 		l.clock = NewAgentClock(reading, receivedAt)
 	}
@@ -89,5 +109,5 @@
 	if !l.ClockKnown() {
 		return l.grantedUntil == 0
 	}
-	return l.clock.Min(now) > l.grantedUntil+expiryMargin.Milliseconds()
+	return l.clock.Min(now) > max(l.grantedUntil, l.staleGrantUntil)+expiryMargin.Milliseconds()
 }
