flow: a new leader waits for an incarnation that hasn't answered

What callers saw: a task may run twice (TWICE). A leader that is elected after an agent's restart gave up the runs of the earlier incarnation about 7 s after it was ready, though the present incarnation hadn't answered. A start that is still on its way may be carried out there. The leader that saw the restart waits 25 s.

Cause: only startSession set staleOrdersUntil; the sessions that a new leader makes for the agents in the log had none.

Evidence, on the code before: flow-reborn-new-leader.txtar:18: unexpected match for `gives up` found in stdout.

Fix: these sessions get the bound on late orders, counted from the time at which the leader was ready, as former leaders' orders are older. It holds back only runs of an earlier incarnation than the present one, and only until this one answers.

--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -59,7 +59,10 @@
 	for it := s.agents.Iterator(); !it.Done(); {
 		_, a, _ := it.Next()
 		if load, _ := s.loads.Get(a.ID); !a.Left || len(load.runs) > 0 {
-			s.sessions = s.sessions.Set(a.ID, agentSession{incarnation: a.Incarnation(), token: s.token(), lease: s.formerLease(a, formerLeasesEnd)})
+			s.sessions = s.sessions.Set(a.ID, agentSession{
+				incarnation: a.Incarnation(), token: s.token(), lease: s.formerLease(a, formerLeasesEnd),
+				staleOrdersUntil: l.Ready.Add(maxOrderDelay), // the agent may have restarted just before
+			})
 			s.renewLease(a.ID)
 		}
 	}
