flow: a new leader knows which agents have left

What callers saw: a long-running task is away 6 to 7 s longer if its agent left just before an election (LOST).

Cause: only the commit of the leave message set leftAt. The session that a new leader makes for an agent that has left had none, so the runs were given up only once all leases had expired.

Evidence, on the code before: flow-left-new-leader.txtar:15: no match for `gives up the runs of an agent.*Value:lost`.

Fix: the session starts with leftAt if the agent has left, as of the time at which the leader is ready. The rule stays the same: an unanswered order and half a second of grace.

--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -58,13 +58,19 @@
 	formerLeasesEnd := s.formerLeasesEnd(l.Ready)
 	for it := s.agents.Iterator(); !it.Done(); {
 		_, a, _ := it.Next()
-		if load, _ := s.loads.Get(a.ID); !a.Left || len(load.runs) > 0 {
-			s.sessions = s.sessions.Set(a.ID, agentSession{
-				incarnation: a.Incarnation(), token: s.token(), lease: s.formerLease(a, formerLeasesEnd),
-				staleOrdersUntil: l.Ready.Add(maxOrderDelay), // the agent may have restarted just before
-			})
-			s.renewLease(a.ID)
+		load, _ := s.loads.Get(a.ID)
+		if a.Left && len(load.runs) == 0 {
+			continue
 		}
+		session := agentSession{
+			incarnation: a.Incarnation(), token: s.token(), lease: s.formerLease(a, formerLeasesEnd),
+			staleOrdersUntil: l.Ready.Add(maxOrderDelay), // the agent may have restarted just before
+		}
+		if a.Left {
+			session.leftAt = l.Ready
+		}
+		s.sessions = s.sessions.Set(a.ID, session)
+		s.renewLease(a.ID)
 	}
 	s.needsPlan = true
 }
