Plans remember groups with a limit of runs per agent

Callers of short jobs waited for seconds behind groups that start at most n tasks on an agent: plans remembered which demands fitted nowhere, except those of such stages. Each plan scored all agents again for each of these groups, and those that rank ahead used up the urgent half of the plan.

Now the plan notes whether the limit alone kept a task from an agent. If it didn't, the group is a shortage like any other. If it did, or if that was so in the plan whose result the candidates depend on, the shortage is recorded for this stage of this round only. That is enough: the limit counts the runs of one round's stage, a run leaves the count only when its end is committed, and that end is a gain of its agent already. Placements only raise the count, and placements that weren't committed drop the memory, as before. A shortage of a stage is dropped with the plan in which no group asked for it or, while plans leave groups out, when its workflow no longer waits.

TestPlansRememberDifferential now also moves agents between two pools and changes the route's pool, its standby and its leaving agents.

--- a/flow/plan_bench_test.go
+++ b/flow/plan_bench_test.go
@@ -26,6 +26,25 @@
 	}
 }
 
+// BenchmarkPlanLimited measures a plan for 400 groups with a limit of runs per agent that fit on no
+// agent, by the number of agents.
+func BenchmarkPlanLimited(b *testing.B) {
+	for _, agents := range []int{350, 490, 3900} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			s := newTestLeader(agents)
+			s.occupy(agents)
+			s.submitShortOf(400, notch.Stage{PerAgent: 1})
+			for range 20 {
+				s.planAfter(80 * time.Millisecond)
+			}
+			e := notch.Event{At: s.now.Add(80 * time.Millisecond), Body: notch.Tick{}}
+			for b.Loop() {
+				notch.Step(s.state, e)
+			}
+		})
+	}
+}
+
 // BenchmarkPlanRoutes measures a plan for 400 groups in a pool without agents, by the number of
 // routes.
 func BenchmarkPlanRoutes(b *testing.B) {
--- a/flow/planmemory_test.go
+++ b/flow/planmemory_test.go
@@ -12,14 +12,11 @@
 	notch "tamaracknotch"
 )
 
-// submitShortOf submits workflows with a task each that fits on no agent of testAgent's size once
-// that has a run. The size of the tasks falls, so that no shortage includes another.
-func (s *testLeader) submitShortOf(workflows int, fills bool) {
+// submitShortOf submits workflows with a task each of a stage that fits on no agent of testAgent's
+// size once that has a run. The size of the tasks falls, so that no shortage includes another.
+func (s *testLeader) submitShortOf(workflows int, st notch.Stage) {
 	for i := range workflows {
-		st := notch.Stage{Count: 1, Size: notch.Resources{MilliCPU: 64000 - int64(i), MemoryMB: 1000}, Estimate: time.Second}
-		if fills {
-			st.Fills, st.Image = true, "o"
-		}
+		st.Count, st.Size, st.Estimate = 1, notch.Resources{MilliCPU: 64000 - int64(i), MemoryMB: 1000}, time.Second
 		s.commit(notch.SubmitWorkflow{Flow: notch.Workflow{ID: fmt.Sprintf("short%03d", i), Route: "r", Stages: []notch.Stage{st}}})
 		s.now = s.now.Add(time.Millisecond)
 	}
@@ -78,13 +75,13 @@
 		{"a pool that no agent leaves", func(s *testLeader) { s.step(notch.TablesCommitted{Tables: testTables()}) }, 0, 0},
 	}
 	for _, c := range cases {
-		for _, fills := range []bool{false, true} {
+		for _, st := range []notch.Stage{{}, {PerAgent: 1}, {Fills: true, Image: "o"}} {
 			count := &countingPolicy{}
 			s := newTestLeader(agents, WithPolicy(count.policy()))
 			for i := range agents {
 				s.colocate(i)
 			}
-			s.submitShortOf(groups, fills)
+			s.submitShortOf(groups, st)
 			if got, want := len(s.planAfter(20*time.Millisecond)), 0; got != want {
 				t.Fatalf("%s: got %d placements, want %d", c.name, got, want)
 			}
@@ -95,16 +92,115 @@
 			c.change(s)
 			s.planAfter(200 * time.Millisecond)
 			want := groups * c.want
-			if fills {
+			if st.Fills {
 				want = groups * c.opportunistic
 			}
 			if got := count.agents; got != want {
-				t.Errorf("%s, opportunistic %t: got %d agents examined, want %d", c.name, fills, got, want)
+				t.Errorf("%s, opportunistic %t, limit %d: got %d agents examined, want %d", c.name, st.Fills, st.PerAgent, got, want)
 			}
 		}
 	}
 }
 
+// submitLimited submits a workflow of which only one task may run on each agent.
+func (s *testLeader) submitLimited(id string, tasks int) {
+	s.commit(notch.SubmitWorkflow{Flow: notch.Workflow{ID: id, Route: "r", Stages: []notch.Stage{
+		{Count: tasks, PerAgent: 1, Size: notch.Resources{MilliCPU: 1000, MemoryMB: 100}, Estimate: time.Second},
+	}}})
+}
+
+// TestPlanRemembersStagesAtTheirLimit guards against plans that score all agents again for each
+// group with a limit of runs per agent, so that a backlog of them delays the groups behind (issue 20).
+func TestPlanRemembersStagesAtTheirLimit(t *testing.T) {
+	const agents, stages = 20, 10
+	count := &countingPolicy{}
+	s := newTestLeader(agents, WithPolicy(count.policy()))
+	for i := range stages {
+		s.submitLimited(fmt.Sprint("limited", i), agents+1)
+	}
+	var first notch.RunPlacement
+	for _, c := range []struct {
+		name     string
+		change   func()
+		examined int
+		placed   int
+	}{
+		{"the first plan", func() {}, stages * 2 * agents, stages * agents}, // each agent again after its placement
+		{"the placements", func() {}, 0, 0},
+		{"a run ended", func() {
+			s.commit(notch.EndRuns{Life: first.Life, Ends: []notch.RunEnd{{Run: notch.RunRef{Task: first.Task, Number: 1}, Kind: notch.RunStopped}}})
+		}, stages + 1, 1},
+		{"another agent that is too small", func() {
+			a := testAgent(agents)
+			a.Size.MilliCPU = 500
+			s.admit(a, agents)
+		}, stages, 0},
+		{"the same size without a limit", func() { s.submit("unlimited", 1) }, agents + 1 + 1, 1},
+		{"another stage with a limit", func() { s.submitLimited("other", 1) }, agents + 1 + 1, 1},
+		{"agents that lack free resources too", func() { s.occupy(agents); s.forgetPlans() }, agents + 1, 0},
+	} {
+		c.change()
+		count.agents = 0
+		placed := s.planAfter(200 * time.Millisecond)
+		if got := count.agents; got != c.examined {
+			t.Errorf("%s: got %d agents examined, want %d", c.name, got, c.examined)
+		}
+		if got := len(placed); got != c.placed {
+			t.Errorf("%s: got %d placements, want %d", c.name, got, c.placed)
+		}
+		if first.After == 0 && len(placed) == stages*agents {
+			first = placed[0]
+		}
+		s.commit(notch.PlaceRuns{Token: 2, Placements: placed})
+	}
+}
+
+// TestPlanForgetsStagesThatDontWait guards against a memory that grows with the ended workflows
+// while each plan leaves groups out (issue 20).
+func TestPlanForgetsStagesThatDontWait(t *testing.T) {
+	s := newTestLeader(1)
+	s.submitLimited("waits", 1)
+	waits := demandKind{}.withLimitOf(notch.TaskRef{Flow: "waits"})
+	v := agentViews{s: &stepper{Part: s.state.Parts()[0].(Part)}, plan: 2, shortages: map[demandKind]shortages{
+		{}: {lookedAt: 1}, waits: {lookedAt: 1}, demandKind{}.withLimitOf(notch.TaskRef{Flow: "ended"}): {lookedAt: 1},
+	}}
+	got, want := v.remembered(true).shortages, map[demandKind]shortages{{}: {lookedAt: 1}, waits: {lookedAt: 1}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got shortages %v, want %v", got, want)
+	}
+}
+
+// TestLimitedGroupsDontDelayOthers guards against urgent groups with a limit of runs per agent that
+// use up the first half of each plan, so that a short task behind them waits for its turn (issue 20).
+func TestLimitedGroupsDontDelayOthers(t *testing.T) {
+	const agents, groups = 490, 400
+	s := newTestLeader(0)
+	for i := range agents {
+		s.admit(testAgent(i), i)
+		id := fmt.Sprint("base", i)
+		s.commit(notch.SubmitWorkflow{Flow: notch.Workflow{ID: id, Route: "r", Stages: []notch.Stage{
+			{Count: 1, Size: notch.Resources{MilliCPU: 2000, MemoryMB: 1000}, Lasts: true},
+		}}})
+		s.commit(notch.PlaceRuns{Token: 2, Placements: []notch.RunPlacement{
+			{Task: notch.TaskRef{Flow: id}, Life: testAgent(i).Incarnation()},
+		}})
+	}
+	s.submitShortOf(groups, notch.Stage{Lasts: true, PerAgent: 1})
+	for range 5 {
+		if got, want := len(s.planAfter(100*time.Millisecond)), 0; got != want {
+			t.Fatalf("got %d placements, want %d", got, want)
+		}
+	}
+	for i := range 3 {
+		s.submit(fmt.Sprint("task", i), 1)
+		placed := s.planAfter(100 * time.Millisecond)
+		if got, want := len(placed), 1; got != want {
+			t.Errorf("task %d: got %d placements by the next plan, want %d", i, got, want)
+		}
+		s.commit(notch.PlaceRuns{Token: 2, Placements: placed})
+	}
+}
+
 // forgetPlans drops what the plans before found out.
 func (s *testLeader) forgetPlans() {
 	p := s.state.Parts()[0].(Part)
@@ -120,7 +216,7 @@
 }
 
 func drawPlanChanges(t *rapid.T, agents int) []planChange {
-	kinds := []string{"submit", "submit", "end", "end", "answer", "admit", "drain", "restart", "refuse", "cancel", "wait"}
+	kinds := []string{"submit", "submit", "end", "end", "answer", "admit", "drain", "restart", "refuse", "cancel", "wait", "move", "leave", "standby", "reroute"}
 	var out []planChange
 	for range rapid.IntRange(1, 6).Draw(t, "changes") {
 		out = append(out, planChange{
@@ -134,6 +230,7 @@
 // planHistory is a leader whose plans are committed, with the runs that they placed.
 type planHistory struct {
 	*testLeader
+	tables notch.Tables // with one route and two pools
 	agents []notch.Agent
 	live   []notch.RunPlacement
 	flows  int
@@ -167,7 +264,50 @@
 		h.commit(notch.CancelWorkflow{ID: fmt.Sprint("f", h.flows-c.agent)})
 	case "wait":
 		h.advance(700 * time.Millisecond)
+	case "move":
+		a.Pool = h.otherPool(a.Pool)
+		h.commit(notch.AdmitAgent{Agent: *a})
+	default:
+		h.changeTables(c.kind, a.ID)
+	}
+}
+
+// newPlanHistory returns the history of a leader with some agents in the first of two pools.
+func newPlanHistory(policy Policy, agents []notch.Agent) *planHistory {
+	h := &planHistory{testLeader: newTestLeader(0, WithPolicy(policy)), tables: testTables(), agents: slices.Clone(agents)}
+	h.tables.Pools = append(h.tables.Pools, notch.Pool{Name: "q", Kind: notch.WorkerPool})
+	h.step(notch.TablesCommitted{Tables: h.tables})
+	for i, a := range agents {
+		h.admit(a, i)
+	}
+	return h
+}
+
+// otherPool returns the name of the pool that isn't named.
+func (h *planHistory) otherPool(name string) string {
+	if name == h.tables.Pools[0].Name {
+		return h.tables.Pools[1].Name
 	}
+	return h.tables.Pools[0].Name
+}
+
+// changeTables applies a change of the route or of its pool.
+func (h *planHistory) changeTables(kind, agent string) {
+	h.tables.Revision++
+	h.tables.Routes, h.tables.Pools = slices.Clone(h.tables.Routes), slices.Clone(h.tables.Pools)
+	route := &h.tables.Routes[0]
+	pool := &h.tables.Pools[slices.IndexFunc(h.tables.Pools, func(p notch.Pool) bool { return p.Name == route.Pool })]
+	switch {
+	case kind == "reroute":
+		route.Pool = h.otherPool(route.Pool)
+	case kind == "standby":
+		pool.Standby = !pool.Standby
+	case pool.IsLeaving(agent, ""):
+		pool.Leaving = slices.DeleteFunc(slices.Clone(pool.Leaving), func(id string) bool { return id == agent })
+	default:
+		pool.Leaving = append(slices.Clone(pool.Leaving), agent)
+	}
+	h.step(notch.TablesCommitted{Tables: h.tables})
 }
 
 // endRunOn ends the oldest run on an agent.
@@ -226,10 +366,7 @@
 		var histories [2]*planHistory
 		drawn := drawAgents(t)
 		for i := range histories {
-			histories[i] = &planHistory{testLeader: newTestLeader(0, WithPolicy(policy)), agents: slices.Clone(drawn)}
-			for k, a := range drawn {
-				histories[i].admit(a, k)
-			}
+			histories[i] = newPlanHistory(policy, drawn)
 		}
 		for n := range rapid.IntRange(1, 12).Draw(t, "plans") {
 			changes, meanwhile := drawPlanChanges(t, len(drawn)), drawPlanChanges(t, len(drawn))[0]
--- a/flow/shortage.go
+++ b/flow/shortage.go
@@ -7,11 +7,13 @@
 )
 
 // demandKind is what a stage requires of an agent besides resources. Headroom depends on the image,
-// so that opportunistic tasks of different images aren't comparable.
+// so that opportunistic tasks of different images aren't comparable. The limit of runs per agent
+// counts the runs of one round's stage, so that no other stage is comparable.
 type demandKind struct {
 	label         string
 	opportunistic bool
-	image         string // of opportunistic tasks
+	image         string        // of opportunistic tasks
+	limited       notch.TaskRef // stage with a limit of runs per agent, the Index is 0; zero: the limit doesn't matter
 }
 
 func demandKindOf(st *notch.Stage) demandKind {
@@ -28,9 +30,15 @@
 	return k
 }
 
+// withLimitOf returns the demand that agents can meet which don't have the limit of a stage's runs.
+func (k demandKind) withLimitOf(stage notch.TaskRef) demandKind {
+	k.limited = stage
+	return k
+}
+
 // shortage is a demand that fitted on no agent of a pool. As free resources and headroom don't grow
 // unless the agent gains some, a demand that is at least as high doesn't fit either, but on agents
-// that have gained some since.
+// that have gained some since. An agent on which a run of a stage has ended has gained some too.
 type shortage struct {
 	size notch.Resources
 	plan uint64 // number of the plan that found it
--- a/flow/views.go
+++ b/flow/views.go
@@ -26,6 +26,7 @@
 	stageRef   notch.TaskRef
 	stage      notch.Stage
 	candidates candidates // for the stage
+	limitHit   bool       // only the stage's limit of runs may have kept its tasks from an agent
 	examined   int        // number of times that the placer examined an agent
 	withImages int        // number of agents whose images were added to their views
 }
@@ -68,12 +69,23 @@
 }
 
 // remembered returns what the next plan may know about the pool. It omits the shortages of kinds
-// that no group asked for, unless the plan left groups out.
+// that no group asked for, unless the plan left groups out that may ask for them.
 func (v *agentViews) remembered(incomplete bool) poolMemory {
-	maps.DeleteFunc(v.shortages, func(_ demandKind, l shortages) bool { return !incomplete && l.lookedAt < v.plan })
+	maps.DeleteFunc(v.shortages, func(k demandKind, l shortages) bool {
+		return l.lookedAt < v.plan && (!incomplete || !v.mayAskFor(k))
+	})
 	return poolMemory{agents: v.memory, shortages: v.shortages}
 }
 
+// mayAskFor reports whether a group that waits may ask for a kind of demand.
+func (v *agentViews) mayAskFor(k demandKind) bool {
+	if k.limited == (notch.TaskRef{}) {
+		return true
+	}
+	_, ok := v.s.waiting.Get(k.limited.Flow)
+	return ok
+}
+
 // acceptsRuns reports whether new runs may be placed on an agent.
 func (s *stepper) acceptsRuns(pool notch.Pool, a notch.Agent, session agentSession) bool {
 	if a.Draining || a.Left || session.incarnation != a.Incarnation() || pool.IsLeaving(a.ID, a.Host) {
@@ -133,6 +145,12 @@
 	v.stageRef, v.stage = ref, st
 	kind := demandKindOf(&st)
 	lackedAt := max(v.lookUp(kind, st.Size), v.lookUp(kind.withoutLabel(), st.Size))
+	v.limitHit = false
+	if st.PerAgent > 0 {
+		limitedAt := v.lookUp(kind.withLimitOf(ref), st.Size)
+		v.limitHit = limitedAt > lackedAt
+		lackedAt = max(lackedAt, limitedAt)
+	}
 	if lackedAt != 0 && v.latestGains.gained(st.Fills) <= lackedAt {
 		return false
 	}
@@ -205,6 +223,7 @@
 		return view, false
 	}
 	if v.stage.PerAgent > 0 && v.runsByStage[v.stageRef][view.Agent.ID] >= v.stage.PerAgent {
+		v.limitHit = v.limitHit || v.stage.Reserved().Fits(view.Free)
 		return view, false
 	}
 	return view, true
@@ -233,12 +252,16 @@
 }
 
 // addShortage remembers that one more task of the current stage fits on no agent, unless the
-// agents were refused for another reason than their free resources and headroom.
+// agents were refused for another reason than their free resources, their headroom and the stage's
+// limit of runs.
 func (v *agentViews) addShortage(scores notch.AgentScores) {
-	if v.stage.PerAgent > 0 || scores.HasCapacity() {
+	if scores.HasCapacity() {
 		return
 	}
 	kind := demandKindOf(&v.stage)
+	if v.limitHit {
+		kind = kind.withLimitOf(v.stageRef)
+	}
 	l := v.shortages[kind].with(shortage{size: v.stage.Size, plan: v.plan})
 	l.lookedAt = v.plan
 	v.shortages[kind] = l
--- a/policy.go
+++ b/policy.go
@@ -190,7 +190,8 @@
 	// Len returns the number of agents.
 	Len() int
 	// Candidates returns the ascending indexes of the agents that may run the requested task. The
-	// others are known to lack free resources or headroom. The caller must not modify it.
+	// others are known to lack free resources or headroom, or have as many runs of the stage as it
+	// allows. The caller must not modify it.
 	Candidates() []int
 	// At returns agent i, which the caller must not modify. If ok is false, the agent can't run
 	// the requested task.
