Plans pass over rounds that aren't due, and pause for the groups they examine

A plan looked at every group of every workflow that waits, those of rounds years ahead included, and the pause after it counted only the groups that are ready.

Rounds become due in their order, so that the due ones are found by a binary search. The groups of due rounds are still examined, finished ones too, as they may have tasks to run again or depend on each other; each adds 32 ns to the pause, four times what it takes.

Before, with the count added to the old code:

TestPlanExaminesDueRounds: at 999999: got 20000 groups examined, want 0 TestPausesAfterPlan: after another 8.026559ms: got 5 agent views examined, want 0

TestPausesAfterPlan now has 200 stages that depend on one which can't start, and still checks that no plan comes 1 ns earlier.

--- a/flow/plan.go
+++ b/flow/plan.go
@@ -17,7 +17,8 @@
 // The pause after a plan in proportion to what it examined. It leaves most of the control thread
 // to other work, however much there is to plan.
 const (
-	pausePerGroup       = 4 * time.Microsecond
+	pausePerGroup       = 4 * time.Microsecond // that is ready
+	pausePerDueGroup    = 32 * time.Nanosecond // of the workflows that wait
 	pausePerAgentView   = 6 * time.Microsecond
 	pausePerAgentImages = 30 * time.Microsecond // of a view, if a placer asked for its images
 	pausePerScore       = 400 * time.Nanosecond
@@ -54,15 +55,16 @@
 	made       notch.PlanMade
 }
 
-// assign chooses an agent for each task that fits on one, and reports the plan.
-func (s *stepper) assign(groups []readyGroup) []notch.RunPlacement {
+// assign chooses an agent for each task that fits on one, and reports the plan. Groups are those that
+// are ready among a number that was examined.
+func (s *stepper) assign(groups []readyGroup, examined int) []notch.RunPlacement {
 	p := planner{stepper: s, placer: s.policy.Placer(s.colocationModel), pools: map[string]*agentViews{}}
 	for _, g := range groups {
 		p.made.Ready += g.tasks
 	}
 	p.placeGroups(groups)
 	s.needsPlan = p.made.Incomplete
-	s.planPause = time.Duration(len(groups))*pausePerGroup + p.pauseForAgents()
+	s.planPause = time.Duration(len(groups))*pausePerGroup + time.Duration(examined)*pausePerDueGroup + p.pauseForAgents()
 	s.planMemory = p.remembered()
 	p.report()
 	return p.placed
--- a/flow/plan_bench_test.go
+++ b/flow/plan_bench_test.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// BenchmarkReadyGroups measures the search for ready groups among 100 workflows of 10,000 groups, by
+// the number of rounds that are due.
+func BenchmarkReadyGroups(b *testing.B) {
+	for _, due := range []int64{0, 10, 5000} {
+		b.Run(fmt.Sprintf("due=%d", due), func(b *testing.B) {
+			s := newTestLeader(0)
+			for i := range 100 {
+				s.commit(notch.SubmitWorkflow{Flow: notch.Workflow{
+					ID: fmt.Sprint("f", i), Route: "r", First: 1000, Every: time.Second, Rounds: 5000,
+					Stages: []notch.Stage{{Count: 1}, {Count: 1, After: []int{0}}},
+				}})
+			}
+			st := &stepper{Part: s.state.Parts()[0].(Part), unixMilli: due * 1000}
+			for b.Loop() {
+				st.readyGroups()
+			}
+		})
+	}
+}
+
 // BenchmarkPlanRoutes measures a plan for 400 groups in a pool without agents, by the number of
 // routes.
 func BenchmarkPlanRoutes(b *testing.B) {
--- a/flow/planlimit_test.go
+++ b/flow/planlimit_test.go
@@ -16,15 +16,54 @@
 	}
 }
 
+// submitDependent submits a workflow of which one stage requires a label that no agent has, and the
+// others depend on it.
+func (s *testLeader) submitDependent(stages int) {
+	out := []notch.Stage{{Count: 1, Label: "none"}}
+	for range stages {
+		out = append(out, notch.Stage{Count: 1, After: []int{0}})
+	}
+	s.commit(notch.SubmitWorkflow{Flow: notch.Workflow{ID: "dependent", Route: "r", Stages: out}})
+}
+
+// TestPlanExaminesDueRounds guards against plans that look at each group of the rounds that aren't
+// due yet (issue 20).
+func TestPlanExaminesDueRounds(t *testing.T) {
+	const workflows, stages, rounds = 10, 2, 1000
+	s := newTestLeader(0)
+	first := int64(1_000_000)
+	for i := range workflows {
+		s.commit(notch.SubmitWorkflow{Flow: notch.Workflow{
+			ID: fmt.Sprint("f", i), Route: "r", First: first, Every: time.Second, Rounds: rounds,
+			Stages: []notch.Stage{{Count: 1}, {Count: 1, After: []int{0}}},
+		}})
+	}
+	for _, c := range []struct {
+		at  int64 // Unix time in ms
+		due int   // rounds of each workflow
+	}{
+		{first - 1, 0}, {first, 1}, {first + 999, 1}, {first + 1000, 2}, {first + 1000*rounds, rounds},
+	} {
+		groups, examined := (&stepper{Part: s.state.Parts()[0].(Part), unixMilli: c.at}).readyGroups()
+		if got, want := len(groups), workflows*c.due; got != want {
+			t.Errorf("at %d: got %d ready groups, want %d", c.at, got, want)
+		}
+		if got, want := examined, workflows*stages*c.due; got != want {
+			t.Errorf("at %d: got %d groups examined, want %d", c.at, got, want)
+		}
+	}
+}
+
 // TestPausesAfterPlan guards against plans that take most of the control thread's time (issue 20).
 func TestPausesAfterPlan(t *testing.T) {
-	const agents, groups = 1000, 5
+	const agents, groups, dependent = 1000, 5, 200
 	count := &countingPolicy{}
 	s := newTestLeader(agents, WithPolicy(count.policy()))
-	s.submitUnplaceable(groups)
+	s.submitUnplaceable(groups - 1)
+	s.submitDependent(dependent)
 	s.plan()
 	s.admit(testAgent(agents), agents) // which the next plan examines for each group
-	pause := groups*pausePerGroup + agents*pausePerAgentView + groups*agents*pausePerScore
+	pause := groups*pausePerGroup + (groups+dependent)*pausePerDueGroup + agents*pausePerAgentView + groups*agents*pausePerScore
 	for _, c := range []struct {
 		advance time.Duration
 		want    int
--- a/flow/ready.go
+++ b/flow/ready.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 	"time"
 
 	notch "tamaracknotch"
@@ -42,12 +43,14 @@
 	})
 }
 
-// readyGroups lists the groups with tasks that could start now, in the order of the policy.
-func (s *stepper) readyGroups() []readyGroup {
-	var out []readyGroup
+// readyGroups lists the groups with tasks that could start now, in the order of the policy. It also
+// returns the number of groups that it examined.
+func (s *stepper) readyGroups() (out []readyGroup, examined int) {
 	for it := s.waiting.Iterator(); !it.Done(); {
 		_, w, _ := it.Next()
-		for g := range w.GroupCount() {
+		due := s.dueGroups(w)
+		examined += due
+		for g := range due {
 			if w.Waiting(g) > 0 && w.Due(g, s.unixMilli) {
 				out = append(out, s.readyTasks(w, g)...)
 			}
@@ -59,7 +62,13 @@
 		out[i].ahead = ahead
 		ahead += out[i].tasks
 	}
-	return out
+	return out, examined
+}
+
+// dueGroups returns the number of groups of a workflow whose round is due. They precede the others.
+func (s *stepper) dueGroups(w *graph.Workflow) int {
+	rounds := sort.Search(w.Flow.RoundCount(), func(round int) bool { return s.unixMilli < w.RoundDueAt(round) })
+	return w.GroupIndex(rounds, 0)
 }
 
 // readyTasks returns the waiting tasks of a group, the interrupted ones apart from the others.
