Differential test of plans: workflows of two routes to two pools

Random plans now look at two pools, between which agents move, as the memory of plans is kept by pool. 10,000 checks pass. A memory shared by both pools passes, as the agents of the other pool count as new there.

--- a/flow/planmemory_test.go
+++ b/flow/planmemory_test.go
@@ -212,6 +212,7 @@
 type planChange struct {
 	kind  string
 	agent int
+	route string
 	stage notch.Stage
 }
 
@@ -221,7 +222,7 @@
 	for range rapid.IntRange(1, 6).Draw(t, "changes") {
 		out = append(out, planChange{
 			kind: rapid.SampledFrom(kinds).Draw(t, "change"), agent: rapid.IntRange(0, agents-1).Draw(t, "agent"),
-			stage: drawStages(t)[0],
+			route: rapid.SampledFrom([]string{"r", "r", "s"}).Draw(t, "route"), stage: drawStages(t)[0],
 		})
 	}
 	return out
@@ -230,7 +231,7 @@
 // planHistory is a leader whose plans are committed, with the runs that they placed.
 type planHistory struct {
 	*testLeader
-	tables notch.Tables // with one route and two pools
+	tables notch.Tables // with the routes r and s to the pools p and q
 	agents []notch.Agent
 	live   []notch.RunPlacement
 	flows  int
@@ -242,7 +243,7 @@
 	switch c.kind {
 	case "submit":
 		h.flows++
-		h.commit(notch.SubmitWorkflow{Flow: notch.Workflow{ID: fmt.Sprint("f", h.flows), Route: "r", Stages: []notch.Stage{c.stage}}})
+		h.commit(notch.SubmitWorkflow{Flow: notch.Workflow{ID: fmt.Sprint("f", h.flows), Route: c.route, Stages: []notch.Stage{c.stage}}})
 	case "end":
 		h.endRunOn(c.agent)
 	case "answer":
@@ -276,6 +277,7 @@
 func newPlanHistory(policy Policy, agents []notch.Agent) *planHistory {
 	h := &planHistory{testLeader: newTestLeader(0, WithPolicy(policy)), tables: testTables(), agents: slices.Clone(agents)}
 	h.tables.Pools = append(h.tables.Pools, notch.Pool{Name: "q", Kind: notch.WorkerPool})
+	h.tables.Routes = append(h.tables.Routes, notch.Route{Name: "s", Path: "/s/", Pool: "q", Attempts: 3, Stretch: 2})
 	h.step(notch.TablesCommitted{Tables: h.tables})
 	for i, a := range agents {
 		h.admit(a, i)
@@ -291,7 +293,7 @@
 	return h.tables.Pools[0].Name
 }
 
-// changeTables applies a change of the route or of its pool.
+// changeTables applies a change of the first route or of its pool.
 func (h *planHistory) changeTables(kind, agent string) {
 	h.tables.Revision++
 	h.tables.Routes, h.tables.Pools = slices.Clone(h.tables.Routes), slices.Clone(h.tables.Pools)
