--- a/flow/lists.go
+++ b/flow/lists.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	notch "tamaracknotch"
@@ -66,7 +65,8 @@
 }
 
 // maxClockReadingAge limits the age of the committed reading of the clock of an agent with runs.
-// At this age, a lease that is based on the reading may be shorter by 4%, twice MaxClockDrift.
+// A lease that is based on a reading may be shorter by twice lease.MaxClockDrift of its age, which
+// is 1.2 s then.
 const maxClockReadingAge = 30 * time.Second
 
 // commitClock commits the clock of an agent with runs, if the latest reading is too old or that of
@@ -91,21 +91,19 @@
 	if lapsed == 0 {
 		return
 	}
-	left, lastAnswer := "never", "never"
+	left, lastAnswer := notch.TextField("lease-left", "never"), notch.TextField("last-answer", "never")
 	if until := session.lease.GrantedUntil(); until != 0 {
-		left = (time.Duration(until-clock) * time.Millisecond).String()
+		left = notch.DurationField("lease-left", time.Duration(until-clock)*time.Millisecond)
 	}
 	if session.lastAnsweredAt != 0 {
-		lastAnswer = logDuration(s.now.Sub(session.lastAnsweredAt))
+		lastAnswer = notch.DurationField("last-answer", s.now.Sub(session.lastAnsweredAt))
 	}
 	s.logMessage("runs ended with an agent's lease",
-		field("agent", session.incarnation.Agent), field("runs", strconv.Itoa(lapsed)),
-		field("lease-left", left), field("last-answer", lastAnswer), field("unanswered", strconv.Itoa(session.unanswered)),
-		field("leading-for", logDuration(s.now.Sub(s.leadership.Ready))))
+		notch.TextField("agent", session.incarnation.Agent), notch.IntField("runs", lapsed),
+		left, lastAnswer, notch.IntField("unanswered", session.unanswered),
+		notch.DurationField("leading-for", s.now.Sub(s.leadership.Ready)))
 }
 
-func logDuration(d time.Duration) string { return d.Round(time.Millisecond).String() }
-
 // evacuate stops the runs on a draining agent that can continue elsewhere without losing work:
 // long-running tasks and tasks that save their progress.
 func (s *stepper) evacuate(a notch.Agent, live []notch.LiveRun) {
@@ -174,7 +172,7 @@
 	load, _ := s.loads.Get(a.ID)
 	for _, run := range load.runs {
 		ref := run.ref
-		if lists(b.Answer, ref) {
+		if isListed(b.Answer, ref) {
 			continue
 		}
 		r, ok := s.run(ref)
@@ -189,8 +187,8 @@
 	return out
 }
 
-// lists reports whether an answer lists a run, live or ended. Both lists are short.
-func lists(answer notch.AgentAnswer, ref notch.RunRef) bool {
+// isListed reports whether an answer lists a run, live or ended. Both lists are short.
+func isListed(answer notch.AgentAnswer, ref notch.RunRef) bool {
 	return slices.ContainsFunc(answer.Live, func(l notch.LiveRun) bool { return l.Run == ref }) ||
 		slices.ContainsFunc(answer.Ends, func(e notch.ListedEnd) bool { return e.End.Run == ref })
 }
--- a/flow/plan_test.go
+++ b/flow/plan_test.go
@@ -71,8 +71,7 @@
 	return nil
 }
 
-// TestPlanScoresAgentsOncePerGroup guards against plans whose cost grows with tasks times agents
-// (issue 20).
+// TestPlanScoresAgentsOncePerGroup guards against plans whose cost grows with tasks times agents.
 func TestPlanScoresAgentsOncePerGroup(t *testing.T) {
 	const agents, tasks = 40, 200
 	count := &countingPolicy{}
@@ -87,7 +86,7 @@
 }
 
 // TestPlanEstimatesHeadroomOnDemand guards against plans that estimate the headroom of all service
-// tasks although no group that waits depends on it (issue 20).
+// tasks although no group that waits depends on it.
 func TestPlanEstimatesHeadroomOnDemand(t *testing.T) {
 	const agents = 5
 	count := &countingPolicy{}
@@ -117,7 +116,7 @@
 }
 
 // TestPlanLooksUpCoefficientsOncePerGroup guards against plans that look up the interference of all
-// tasks on an agent for each group that waits (issue 20).
+// tasks on an agent for each group that waits.
 func TestPlanLooksUpCoefficientsOncePerGroup(t *testing.T) {
 	const agents, groups = 40, 60
 	count := &countingPolicy{}
@@ -136,3 +135,22 @@
 		t.Errorf("interference coefficients looked up: got %d, want at most %d", got, most)
 	}
 }
+
+// TestGroupLooksUpCoefficientOncePerImage guards against a plan that looks up the interference of a
+// group with the same service image again for each agent.
+func TestGroupLooksUpCoefficientOncePerImage(t *testing.T) {
+	const agents = 40
+	count := &countingPolicy{}
+	s := newTestLeader(agents, WithPolicy(count.policy()))
+	for i := range agents {
+		s.colocate(i)
+	}
+	st := notch.Stage{Count: 1, Size: notch.Resources{MilliCPU: 1000, MemoryMB: 100}, Fills: true, Image: "o0"}
+	s.commit(notch.SubmitWorkflow{Flow: notch.Workflow{ID: "f", Route: "r", Stages: []notch.Stage{st}}})
+	count.coefficients = 0
+	s.plan()
+	views := agents * serviceImagesPerAgent * opportunisticPerAgent
+	if got, most := count.coefficients, views+serviceImageCount+serviceImagesPerAgent; got > most {
+		t.Errorf("interference coefficients looked up: got %d, want at most %d", got, most)
+	}
+}
--- a/flow/planlimit_test.go
+++ b/flow/planlimit_test.go
@@ -27,7 +27,7 @@
 }
 
 // TestPlanExaminesDueRounds guards against plans that look at each group of the rounds that aren't
-// due yet (issue 20).
+// due yet.
 func TestPlanExaminesDueRounds(t *testing.T) {
 	const workflows, stages, rounds = 10, 2, 1000
 	s := newTestLeader(0)
@@ -54,7 +54,7 @@
 	}
 }
 
-// TestPausesAfterPlan guards against plans that take most of the control thread's time (issue 20).
+// TestPausesAfterPlan guards against plans that take most of the control thread's time.
 func TestPausesAfterPlan(t *testing.T) {
 	const agents, groups, dependent = 1000, 5, 200
 	count := &countingPolicy{}
@@ -82,7 +82,7 @@
 }
 
 // TestPlanLimitReachesEveryGroup guards against plans that examine agents without a limit, and
-// against groups that a limited plan never reaches (issue 20).
+// against groups that a limited plan never reaches.
 func TestPlanLimitReachesEveryGroup(t *testing.T) {
 	const agents, unplaceable = 1000, 200
 	const scores = (unplaceable + 1) * agents
@@ -107,7 +107,7 @@
 }
 
 // TestPlanLimitKeepsUrgentGroupsFirst guards against a limited plan that begins with the groups
-// which the one before didn't reach, so that more urgent ones wait for their turn (issue 20).
+// which the one before didn't reach, so that more urgent ones wait for their turn.
 func TestPlanLimitKeepsUrgentGroupsFirst(t *testing.T) {
 	const agents, unplaceable = 1000, 200
 	s := newTestLeader(agents)
@@ -131,3 +131,24 @@
 		s.commit(notch.PlaceRuns{Token: 2, Placements: placed})
 	}
 }
+
+// TestLimitedPlansReachEveryGroup guards against groups that no plan reaches, because all agents have
+// gained something since the plan before and each plan begins with the same groups.
+func TestLimitedPlansReachEveryGroup(t *testing.T) {
+	const agents, unplaceable = 1000, 200
+	const scores = (unplaceable + 1) * agents
+	s := newTestLeader(agents)
+	s.submitUnplaceable(unplaceable)
+	s.submit("last", 1)
+	placed := 0
+	for range scores/(maxScores/2) + 1 { // half of each plan goes to the most urgent groups
+		for i := range agents {
+			s.answerRenewal(i)
+		}
+		s.forgetPlans()
+		placed += len(s.plan())
+	}
+	if got, want := placed, 1; got != want {
+		t.Errorf("placements: got %d, want %d", got, want)
+	}
+}
--- a/flow/planmemory_test.go
+++ b/flow/planmemory_test.go
@@ -22,6 +22,17 @@
 	}
 }
 
+// newBacklogLeader returns a leader of agents that run tasks, with groups of a stage that fit on none
+// of them.
+func newBacklogLeader(agents, groups int, st notch.Stage, count *countingPolicy) *testLeader {
+	s := newTestLeader(agents, WithPolicy(count.policy()))
+	for i := range agents {
+		s.colocate(i)
+	}
+	s.submitShortOf(groups, st)
+	return s
+}
+
 // endRun commits the end of the first task of a workflow on agent i.
 func (s *testLeader) endRun(workflow string, i int) {
 	s.commit(notch.EndRuns{
@@ -36,20 +47,23 @@
 	s.advance(d)
 	part, effects := s.state.Parts()[0].Step(notch.Event{At: s.now, Seed: s.index, Body: notch.Tick{}})
 	s.state = notch.NewState(part)
-	for _, e := range effects {
-		if emit, ok := e.(notch.Emit); ok {
-			if p, ok := emit.Body.(notch.Proposal); ok {
-				if c, ok := p.Command.(notch.PlaceRuns); ok {
-					return c.Placements
-				}
-			}
+	for _, f := range effects {
+		if c, ok := proposedCommand(f).(notch.PlaceRuns); ok {
+			return c.Placements
 		}
 	}
 	return nil
 }
 
+// proposedCommand returns the command that an effect proposes, or nil.
+func proposedCommand(f notch.Effect) notch.Command {
+	emit, _ := f.(notch.Emit)
+	p, _ := emit.Body.(notch.Proposal)
+	return p.Command
+}
+
 // TestPlanExaminesWhatChanged guards against plans that score the same agents again for the same
-// groups: they took half of the control thread's time (issue 20).
+// groups: they took half of the control thread's time.
 func TestPlanExaminesWhatChanged(t *testing.T) {
 	const agents, groups = 30, 20
 	cases := []struct {
@@ -77,11 +91,7 @@
 	for _, c := range cases {
 		for _, st := range []notch.Stage{{}, {PerAgent: 1}, {Fills: true, Image: "o"}} {
 			count := &countingPolicy{}
-			s := newTestLeader(agents, WithPolicy(count.policy()))
-			for i := range agents {
-				s.colocate(i)
-			}
-			s.submitShortOf(groups, st)
+			s := newBacklogLeader(agents, groups, st, count)
 			if got, want := len(s.planAfter(20*time.Millisecond)), 0; got != want {
 				t.Fatalf("%s: got %d placements, want %d", c.name, got, want)
 			}
@@ -110,7 +120,7 @@
 }
 
 // TestPlanRemembersStagesAtTheirLimit guards against plans that score all agents again for each
-// group with a limit of runs per agent, so that a backlog of them delays the groups behind (issue 20).
+// group with a limit of runs per agent, so that a backlog of them delays the groups behind.
 func TestPlanRemembersStagesAtTheirLimit(t *testing.T) {
 	const agents, stages = 20, 10
 	count := &countingPolicy{}
@@ -156,7 +166,7 @@
 }
 
 // TestPlanForgetsStagesThatDontWait guards against a memory that grows with the ended workflows
-// while each plan leaves groups out (issue 20).
+// while each plan leaves groups out.
 func TestPlanForgetsStagesThatDontWait(t *testing.T) {
 	s := newTestLeader(1)
 	s.submitLimited("waits", 1)
@@ -171,7 +181,7 @@
 }
 
 // TestLimitedGroupsDontDelayOthers guards against urgent groups with a limit of runs per agent that
-// use up the first half of each plan, so that a short task behind them waits for its turn (issue 20).
+// use up the first half of each plan, so that a short task behind them waits for its turn.
 func TestLimitedGroupsDontDelayOthers(t *testing.T) {
 	const agents, groups = 490, 400
 	s := newTestLeader(0)
@@ -360,7 +370,8 @@
 	return placed
 }
 
-// TestPlansRememberDifferential compares plans with ones that remember nothing of those before.
+// TestPlansRememberDifferential guards against tasks that wait although an agent has gained room for
+// them: it compares plans with ones that remember nothing of those before.
 func TestPlansRememberDifferential(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		policy := []Policy{DefaultPolicy(), NaivePolicy()}[rapid.IntRange(0, 1).Draw(t, "policy")]
--- a/flow/shortage_test.go
+++ b/flow/shortage_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestPlanSkipsGroupsThatDemandMore guards against plans that examine all agents for each group of
-// a backlog that fits nowhere (issue 20).
+// a backlog that fits nowhere.
 func TestPlanSkipsGroupsThatDemandMore(t *testing.T) {
 	const agents = 30
 	for _, groups := range []int{1, 10, 300} {
@@ -33,7 +33,8 @@
 	}
 }
 
-// TestSkippedGroupsDontFit compares the placements of a plan with those of one that skips no group.
+// TestSkippedGroupsDontFit guards against tasks that wait although they fit on an agent, because a
+// plan skipped their group: it compares the placements with those of a plan that skips no group.
 func TestSkippedGroupsDontFit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		policies := []Policy{DefaultPolicy(), NaivePolicy()}
--- a/flow/views.go
+++ b/flow/views.go
@@ -16,7 +16,7 @@
 	loads       []agentLoad                      // of the agents before the plan
 	memory      []agentMemory                    // of the agents
 	latestGains agentGains                       // of any agent
-	colocated   []bool                           // by agent; the view includes the images of its service tasks
+	hasImages   []bool                           // by agent: its view includes the images of its service tasks
 	runsByStage map[notch.TaskRef]map[string]int // number of runs by stage and agent id; the Index of the stage is 0
 	shortages   map[demandKind]shortages
 
@@ -53,7 +53,7 @@
 			v.add(a, session, remembered.agent(id))
 		}
 	}
-	v.colocated = make([]bool, len(v.agents))
+	v.hasImages = make([]bool, len(v.agents))
 	return v
 }
 
@@ -104,7 +104,7 @@
 
 // addImages adds the service images on agent i to its view.
 func (v *agentViews) addImages(i int) {
-	v.colocated[i] = true
+	v.hasImages[i] = true
 	v.withImages++
 	view := &v.agents[i]
 	view.ServiceImages = v.s.serviceImages(view.Agent.ID, v.loads[i])
@@ -144,10 +144,10 @@
 func (v *agentViews) setStage(ref notch.TaskRef, st notch.Stage) bool {
 	v.stageRef, v.stage = ref, st
 	kind := demandKindOf(&st)
-	lackedAt := max(v.lookUp(kind, st.Size), v.lookUp(kind.withoutLabel(), st.Size))
+	lackedAt := max(v.latestShortage(kind, st.Size), v.latestShortage(kind.withoutLabel(), st.Size))
 	v.limitHit = false
 	if st.PerAgent > 0 {
-		limitedAt := v.lookUp(kind.withLimitOf(ref), st.Size)
+		limitedAt := v.latestShortage(kind.withLimitOf(ref), st.Size)
 		v.limitHit = limitedAt > lackedAt
 		lackedAt = max(lackedAt, limitedAt)
 	}
@@ -174,9 +174,9 @@
 	return out
 }
 
-// lookUp returns the number of the latest plan in which a demand of at most the given size fitted
-// on no agent, or 0.
-func (v *agentViews) lookUp(kind demandKind, size notch.Resources) uint64 {
+// latestShortage returns the number of the latest plan in which a demand of at most the given size
+// fitted on no agent, or 0. It records that this plan has a group of the kind.
+func (v *agentViews) latestShortage(kind demandKind, size notch.Resources) uint64 {
 	l, ok := v.shortages[kind]
 	if !ok {
 		return 0
@@ -215,7 +215,7 @@
 // At implements [notch.AgentViews].
 func (v *agentViews) At(i int) (*notch.AgentView, bool) {
 	v.examined++
-	if !v.colocated[i] && (v.stage.Fills || v.stage.Target > 0) {
+	if !v.hasImages[i] && (v.stage.Fills || v.stage.Target > 0) {
 		v.addImages(i)
 	}
 	view := &v.agents[i]
