--- a/flow/plan_bench_test.go
+++ b/flow/plan_bench_test.go
@@ -26,6 +26,45 @@
 	}
 }
 
+// BenchmarkPlanLimited measures a plan for 400 groups with a limit of runs per agent that fit on no
+// agent, by the number of agents.
+func BenchmarkPlanLimited(b *testing.B) {
+	for _, agents := range []int{350, 490, 3900} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			s := newTestLeader(agents)
+			s.occupy(agents)
+			s.submitShortOf(400, notch.Stage{PerAgent: 1})
+			for range 20 {
+				s.planAfter(80 * time.Millisecond)
+			}
+			e := notch.Event{At: s.now.Add(80 * time.Millisecond), Body: notch.Tick{}}
+			for b.Loop() {
+				notch.Step(s.state, e)
+			}
+		})
+	}
+}
+
+// BenchmarkReadyGroups measures the search for ready groups among 100 workflows of 10,000 groups, by
+// the number of rounds that are due.
+func BenchmarkReadyGroups(b *testing.B) {
+	for _, due := range []int64{0, 10, 5000} {
+		b.Run(fmt.Sprintf("due=%d", due), func(b *testing.B) {
+			s := newTestLeader(0)
+			for i := range 100 {
+				s.commit(notch.SubmitWorkflow{Flow: notch.Workflow{
+					ID: fmt.Sprint("f", i), Route: "r", First: 1000, Every: time.Second, Rounds: 5000,
+					Stages: []notch.Stage{{Count: 1}, {Count: 1, After: []int{0}}},
+				}})
+			}
+			st := &stepper{Part: s.state.Parts()[0].(Part), unixMilli: due * 1000}
+			for b.Loop() {
+				st.readyGroups()
+			}
+		})
+	}
+}
+
 // BenchmarkPlanRoutes measures a plan for 400 groups in a pool without agents, by the number of
 // routes.
 func BenchmarkPlanRoutes(b *testing.B) {
