flow: an unanswered renewal acknowledges no ends

What callers would see: a task that was done runs again (TWICE).

Cause: a renewal that an agent doesn't answer was sent again with the acknowledgement of its committed ends. If the agent restarts, such a renewal may be carried out late by its next incarnation, which numbers its ends anew and hasn't seen a higher token yet. It forgets the end with that number, a run that was done there, and the leader, which never learns of it, starts the task again.

Renewals after an unanswered one acknowledge nothing now, as they already grant no lease; the first one that is answered is followed by one that acknowledges all.

--- a/flow/orders.go
+++ b/flow/orders.go
@@ -14,11 +14,13 @@
 	if !ok || !known || session.renewalSentAt != 0 || !s.mayOrder() {
 		return
 	}
-	o := notch.AgentOrder{Kind: notch.AgentRenew, Token: session.token, Ack: session.committedUpTo}
+	o := notch.AgentOrder{Kind: notch.AgentRenew, Token: session.token}
 	if session.unanswered == 0 {
 		// Orders that aren't answered may be carried out late. If each one granted a lease, the
-		// leases of an agent that is gone would never expire.
+		// leases of an agent that is gone would never expire. If the agent restarts meanwhile, its
+		// next incarnation would take the acknowledgement for one of its own ends.
 		o.Deadline = session.lease.Deadline(s.now, s.timing.Lease)
+		o.Ack = session.committedUpTo
 	}
 	if session.lastAnsweredAt != 0 && session.unanswered == 0 && session.proposedUpTo == session.committedUpTo {
 		o.Wait = s.longPoll(id)
