consensus: send nothing to a replica whose data folder was replaced

Callers lost accepted work when two more disks were lost seconds after a wiped control replica had come back: it wasn't a voter yet, so no quorum was left.

The old replica stays a voter until its successor, of the same name, has caught up. The leader went on sending it entries and heartbeats, which reached the successor: it received everything twice, and rejected what followed entries that it lacked.

The link to a replica shows the identity of its data folder, so the leader knows that the old one can't answer. When the old disk is back, its messages resume.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -158,11 +158,15 @@
 	return max(min(s.sentToJournalIndex, s.log.lastIndex()), s.log.base) + 1
 }
 
+// mayReach reports whether messages may reach a replica. Those for one whose data folder was
+// replaced would reach its successor of the same name, and be rejected in the successor's name.
+func (s *stepper) mayReach(r notch.Replica) bool { return r != s.self && !s.replaced(r) }
+
 // sendAppend sends the next entries to replica i, or a snapshot if the log no longer holds
 // them.
 func (s *stepper) sendAppend(i int) {
 	pr := s.progress[i]
-	if pr.replica == s.self {
+	if !s.mayReach(pr.replica) {
 		return
 	}
 	if pr.next <= s.log.base {
@@ -193,6 +197,9 @@
 // not wait for them.
 func (s *stepper) sendHeartbeat(i int) {
 	pr := s.progress[i]
+	if !s.mayReach(pr.replica) {
+		return
+	}
 	if !pr.probing || pr.match < s.log.base {
 		if len(pr.unconfirmed) > 0 && pr.match >= s.log.base {
 			s.sendContact(pr)
