--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -191,6 +191,7 @@
 	case notch.SnapshotTaken:
 		s.saveSnapshot(b.Snapshot)
 	case notch.SnapshotSaved:
+		s.persistedIndex = max(s.persistedIndex, b.Index)
 		s.log = s.log.withoutPrefix(s.keepFrom(b.Index))
 	case notch.TablesCommitted:
 		s.onTablesCommitted(b.Tables)
@@ -307,11 +308,14 @@
 	}
 }
 
+// restoreSnapshot replaces the log by a snapshot. Until the snapshot is synced, the disk agrees with
+// it only up to the commit index before.
 func (s *stepper) restoreSnapshot(snap notch.Snapshot) {
+	s.persistedIndex = min(s.persistedIndex, s.commitIndex)
 	s.snapshot = &snap
 	s.log = newLogAt(snap.Index, snap.Term)
 	s.configs = []configAt{{index: snap.Index, set: snap.Replicas}}
-	s.commitIndex, s.appliedIndex, s.persistedIndex = snap.Index, snap.Index, snap.Index
+	s.commitIndex, s.appliedIndex = snap.Index, snap.Index
 	s.emit(notch.Restored{Snapshot: snap})
 }
 
--- a/consensus/follow.go
+++ b/consensus/follow.go
@@ -86,7 +86,7 @@
 	s.acceptLeader(m.Term, m.Leader)
 	reply := notch.AppendReply{Term: s.hardState.Term, From: s.self, OK: true, Match: m.Snapshot.Index, SentAt: m.SentAt}
 	if m.Snapshot.Index <= s.commitIndex {
-		reply.Match = s.commitIndex
+		reply.Match = min(s.commitIndex, s.persistedIndex)
 		s.send(m.Leader, reply)
 		return
 	}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -169,7 +169,7 @@
 	if !s.mayReach(pr.replica) {
 		return
 	}
-	if pr.next <= s.log.base {
+	if s.needsSnapshot(pr) {
 		s.sendSnapshot(i)
 		return
 	}
@@ -233,6 +233,9 @@
 	s.sendAppend(i)
 }
 
+// needsSnapshot reports whether the log no longer holds the next entries for the replica.
+func (s *stepper) needsSnapshot(pr progress) bool { return pr.next <= s.log.base }
+
 // sendSnapshot sends the snapshot to replica i, unless one was sent recently and isn't
 // acknowledged yet.
 func (s *stepper) sendSnapshot(i int) {
@@ -307,7 +310,7 @@
 	if pr.match >= s.snapshotIndex() {
 		pr.snapshotSentAt = 0
 	}
-	if pr.match+1 >= pr.next {
+	if pr.match+1 >= pr.next && !s.needsSnapshot(pr) {
 		pr.probing = false
 	}
 	s.setProgress(i, pr)
