--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -337,10 +337,15 @@
 		s.emit(notch.Committed{Entry: s.log.entryAt(s.appliedIndex)})
 	}
 	if s.snapshotIndex()+uint64(s.limits.SnapshotEntries) <= s.appliedIndex {
-		s.emit(notch.SnapshotDue{Index: s.appliedIndex, Term: s.log.term(s.appliedIndex), Replicas: s.replicaSetAt(s.appliedIndex)})
+		s.emitSnapshotDue()
 	}
 }
 
+// emitSnapshotDue requests a snapshot of what is applied.
+func (s *stepper) emitSnapshotDue() {
+	s.emit(notch.SnapshotDue{Index: s.appliedIndex, Term: s.log.term(s.appliedIndex), Replicas: s.replicaSetAt(s.appliedIndex)})
+}
+
 func (s *stepper) snapshotIndex() uint64 {
 	if s.snapshot == nil {
 		return 0
@@ -351,6 +356,9 @@
 func (s *stepper) saveSnapshot(snap notch.Snapshot) {
 	s.snapshot = &snap
 	s.effects = append(s.effects, notch.SaveSnapshot{Snapshot: snap, KeepFrom: s.keepFrom(snap.Index)})
+	if s.role == roleLeader {
+		s.sendSnapshots()
+	}
 }
 
 // keepFrom returns the index up to which the log may be dropped after a snapshot at
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -17,6 +17,7 @@
 	probing        bool       // an append was rejected, and the replica hasn't confirmed the probe after it
 	probedAt       notch.Time // when the probe was sent; rejections of earlier messages are ignored
 	snapshotSentAt notch.Time // when the unacknowledged snapshot was sent; zero: none
+	sentSnapshot   uint64     // index of that snapshot
 	unconfirmed    []uint64   // last index of each message with entries that isn't confirmed; never modified in place
 }
 
@@ -233,15 +234,13 @@
 	s.sendAppend(i)
 }
 
-// needsSnapshot reports whether the log no longer holds the next entries for the replica.
-func (s *stepper) needsSnapshot(pr progress) bool { return pr.next <= s.log.base }
-
 // sendSnapshot sends the snapshot to replica i, unless one was sent recently and isn't
-// acknowledged yet.
+// acknowledged yet. If the latest snapshot is old, a new one is taken first, and sent by
+// [stepper.saveSnapshot]: the entries after an old one may be many times its size.
 func (s *stepper) sendSnapshot(i int) {
 	pr := s.progress[i]
 	pr.lastSentAt = s.now
-	if s.snapshot == nil || (pr.snapshotSentAt != 0 && s.now.Sub(pr.snapshotSentAt) < snapshotTimeoutResends*s.timing.ResendTimeout) {
+	if s.awaitsSnapshot(pr) {
 		// A heartbeat keeps the follower from campaigning while it waits.
 		s.send(pr.replica.Name, notch.AppendRequest{
 			Term: s.hardState.Term, Leader: s.self.Name, PrevIndex: s.log.base,
@@ -250,13 +249,36 @@
 		s.setProgress(i, pr)
 		return
 	}
-	pr.snapshotSentAt = s.now
+	if s.snapshotIndex()+uint64(s.limits.RetainedEntries) < s.appliedIndex {
+		s.setProgress(i, pr)
+		s.emitSnapshotDue()
+		return
+	}
+	pr.snapshotSentAt, pr.sentSnapshot = s.now, s.snapshotIndex()
 	s.setProgress(i, pr)
 	s.send(pr.replica.Name, notch.InstallSnapshot{
 		Term: s.hardState.Term, Leader: s.self.Name, SentAt: s.now, Snapshot: *s.snapshot,
 	})
 }
 
+// sendSnapshots sends the snapshot to the replicas that need one.
+func (s *stepper) sendSnapshots() {
+	for i, pr := range s.progress {
+		if s.needsSnapshot(pr) && !s.awaitsSnapshot(pr) {
+			s.sendAppend(i)
+		}
+	}
+}
+
+// needsSnapshot reports whether the log no longer holds the next entries for the replica.
+func (s *stepper) needsSnapshot(pr progress) bool { return pr.next <= s.log.base }
+
+// awaitsSnapshot reports whether a snapshot was sent to the replica recently and isn't
+// acknowledged yet.
+func (s *stepper) awaitsSnapshot(pr progress) bool {
+	return pr.snapshotSentAt != 0 && s.now.Sub(pr.snapshotSentAt) < snapshotTimeoutResends*s.timing.ResendTimeout
+}
+
 // snapshotTimeoutResends is the number of resend timeouts after which an unacknowledged
 // snapshot is sent again.
 const snapshotTimeoutResends = 10
@@ -307,7 +329,7 @@
 		return
 	}
 	pr = pr.withMatch(m.Match)
-	if pr.match >= s.snapshotIndex() {
+	if pr.match >= pr.sentSnapshot {
 		pr.snapshotSentAt = 0
 	}
 	if pr.match+1 >= pr.next && !s.needsSnapshot(pr) {
--- a/script/control.go
+++ b/script/control.go
@@ -218,13 +218,7 @@
 // growRoutes sends an edit that replaces the routes by many.
 func (r *scriptState) growRoutes(args []string) {
 	n := r.node(args[0])
-	var routes []notch.Route
-	for i := range r.number(args[2]) {
-		routes = append(routes, notch.Route{
-			Name: fmt.Sprintf("route-%d", i), Host: "shop.example", Path: fmt.Sprintf("/route-%d/", i), Pool: args[1], Timeout: time.Second,
-		})
-	}
-	r.editRoutes(n, routes)
+	r.editRoutes(n, manyRoutes(args[1], r.number(args[2])))
 }
 
 // storm sends edits that change one route each.
