--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -362,12 +362,20 @@
 }
 
 // keepFrom returns the index up to which the log may be dropped after a snapshot at
-// index. The entries after it are kept for followers that lag slightly.
+// index. The entries after it are kept for followers that lag slightly, and up to SnapshotEntries
+// more for those that catch up from an earlier snapshot.
 func (s *stepper) keepFrom(index uint64) uint64 {
 	if index <= uint64(s.limits.RetainedEntries) {
 		return 0
 	}
-	return max(index-uint64(s.limits.RetainedEntries), s.log.base)
+	keep := index - uint64(s.limits.RetainedEntries)
+	for _, pr := range s.progress {
+		if s.catchesUp(pr) {
+			keep = min(keep, max(pr.match, pr.sentSnapshot))
+		}
+	}
+	oldest := index - min(index, uint64(s.limits.RetainedEntries+s.limits.SnapshotEntries))
+	return max(keep, oldest, s.log.base)
 }
 
 func (s *stepper) emitReplicas() { s.emit(notch.ReplicasChanged{Set: s.replicaSet()}) }
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	notch "tamaracknotch"
 )
@@ -17,7 +18,7 @@
 	probing        bool       // an append was rejected, and the replica hasn't confirmed the probe after it
 	probedAt       notch.Time // when the probe was sent; rejections of earlier messages are ignored
 	snapshotSentAt notch.Time // when the unacknowledged snapshot was sent; zero: none
-	sentSnapshot   uint64     // index of that snapshot
+	sentSnapshot   uint64     // index of the snapshot sent last; zero once the replica has caught up
 	unconfirmed    []uint64   // last index of each message with entries that isn't confirmed; never modified in place
 }
 
@@ -276,7 +277,18 @@
 // awaitsSnapshot reports whether a snapshot was sent to the replica recently and isn't
 // acknowledged yet.
 func (s *stepper) awaitsSnapshot(pr progress) bool {
-	return pr.snapshotSentAt != 0 && s.now.Sub(pr.snapshotSentAt) < snapshotTimeoutResends*s.timing.ResendTimeout
+	return pr.snapshotSentAt != 0 && s.now.Sub(pr.snapshotSentAt) < s.snapshotTimeout()
+}
+
+// catchesUp reports whether the replica was sent a snapshot and hasn't caught up with the log
+// since. A replica that fell silent doesn't count.
+func (s *stepper) catchesUp(pr progress) bool {
+	return pr.sentSnapshot != 0 && s.now.Sub(max(pr.contactAt, pr.snapshotSentAt)) < s.snapshotTimeout()
+}
+
+// snapshotTimeout is the wait for the acknowledgement of a snapshot before it is sent again.
+func (s *stepper) snapshotTimeout() time.Duration {
+	return snapshotTimeoutResends * s.timing.ResendTimeout
 }
 
 // snapshotTimeoutResends is the number of resend timeouts after which an unacknowledged
@@ -332,6 +344,9 @@
 	if pr.match >= pr.sentSnapshot {
 		pr.snapshotSentAt = 0
 	}
+	if pr.match >= pr.sentSnapshot && pr.match+uint64(s.limits.RetainedEntries) >= s.log.lastIndex() {
+		pr.sentSnapshot = 0
+	}
 	if pr.match+1 >= pr.next && !s.needsSnapshot(pr) {
 		pr.probing = false
 	}
