consensus: a learner that keeps up becomes a voter at any rate of commands

A wiped control replica could keep up with the leader under load and yet not be made a voter, so that the next lost disks took the quorum.

A learner had to lack 64 entries at most when the leader looked, which is 64 ms at 1,000 commands a second; with a longer round trip that never holds. It now also counts as caught up if it has confirmed, within an election timeout, all that the log held at the beginning of that time, as in Ongaro's dissertation (rounds), and the present round isn't longer.

Five replicas, 1,000 commands a second, 40 ms more to the learner's failure domain, in virtual time: not a voter within 2 s before, 730 ms now.

Before: wiped-far.txtar:19: c isn't a voter after 2s

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -38,7 +38,7 @@
 	FlushLag        int // a flush sends nothing to a replica with more unsent entries than this
 	SnapshotEntries int // number of entries applied between two snapshots
 	RetainedEntries int // entries kept before the snapshot, for followers that lag slightly
-	LearnerLag      int // maximum number of entries that a learner may lack to become a voter
+	LearnerLag      int // a learner that lacks at most this many entries may become a voter
 }
 
 // DefaultLimits is for entries of a few hundred bytes to a few kilobytes.
--- a/consensus/replicas.go
+++ b/consensus/replicas.go
@@ -122,10 +122,16 @@
 	return slices.ContainsFunc(s.linkedReplicas, func(o notch.Replica) bool { return o.Name == r.Name && o != r })
 }
 
-// caughtUp reports whether a learner lacks few enough entries to become a voter.
+// caughtUp reports whether a learner may become a voter: it lacks few entries, or none that are older
+// than an election timeout, as with many commands a second one round trip is many entries.
 func (s *stepper) caughtUp(r notch.Replica) bool {
 	i := s.progressIndex(r)
-	return i >= 0 && s.progress[i].match+uint64(s.limits.LearnerLag) >= s.log.lastIndex() && s.progress[i].match >= s.snapshotIndex()
+	if i < 0 || s.progress[i].match < s.snapshotIndex() {
+		return false
+	}
+	pr := s.progress[i]
+	keepsUp := pr.shortRound && s.now.Sub(pr.roundAt) <= s.timing.ElectionTimeout
+	return keepsUp || pr.match+uint64(s.limits.LearnerLag) >= s.log.lastIndex()
 }
 
 func withReplica(rs []notch.Replica, r notch.Replica) []notch.Replica {
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -19,6 +19,9 @@
 	probedAt       notch.Time // when the probe was sent; rejections of earlier messages are ignored
 	snapshotSentAt notch.Time // when the unacknowledged snapshot was sent; zero: none
 	sentSnapshot   uint64     // index of the snapshot sent last; zero once the replica has caught up
+	roundEnd       uint64     // last index of the log when the round began; the replica's confirmation ends the round
+	roundAt        notch.Time // when the round began
+	shortRound     bool       // the round before took an election timeout at most
 	unconfirmed    []uint64   // last index of each message with entries that isn't confirmed; never modified in place
 }
 
@@ -52,6 +55,17 @@
 	return pr
 }
 
+// withRound returns pr with the next round begun if the replica has confirmed all that the log held
+// at the beginning of this one.
+func (pr progress) withRound(lastIndex uint64, now notch.Time, short time.Duration) progress {
+	if pr.match < pr.roundEnd {
+		return pr
+	}
+	pr.shortRound = pr.roundEnd != 0 && now.Sub(pr.roundAt) <= short
+	pr.roundEnd, pr.roundAt = lastIndex, now
+	return pr
+}
+
 // withNext returns pr with the next entry to send set back to index.
 func (pr progress) withNext(index uint64) progress {
 	pr.next, pr.unconfirmed = index, nil
@@ -340,7 +354,7 @@
 		s.onAppendRejected(i, pr, m)
 		return
 	}
-	pr = pr.withMatch(m.Match)
+	pr = pr.withMatch(m.Match).withRound(s.log.lastIndex(), s.now, s.timing.ElectionTimeout)
 	if pr.match >= pr.sentSnapshot {
 		pr.snapshotSentAt = 0
 	}
