--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -38,7 +38,7 @@
 	FlushLag        int // a flush sends nothing to a replica with more unsent entries than this
 	SnapshotEntries int // number of entries applied between two snapshots
 	RetainedEntries int // entries kept before the snapshot, for followers that lag slightly
-	LearnerLag      int // maximum number of entries that a learner may lack to become a voter
+	LearnerLag      int // a learner that lacks at most this many entries may become a voter
 }
 
 // DefaultLimits is for entries of a few hundred bytes to a few kilobytes.
@@ -191,6 +191,7 @@
 	case notch.SnapshotTaken:
 		s.saveSnapshot(b.Snapshot)
 	case notch.SnapshotSaved:
+		s.persistedIndex = max(s.persistedIndex, b.Index)
 		s.log = s.log.withoutPrefix(s.keepFrom(b.Index))
 	case notch.TablesCommitted:
 		s.onTablesCommitted(b.Tables)
@@ -307,11 +308,14 @@
 	}
 }
 
+// restoreSnapshot replaces the log by a snapshot. Until the snapshot is synced, the disk agrees with
+// it only up to the commit index before.
 func (s *stepper) restoreSnapshot(snap notch.Snapshot) {
+	s.persistedIndex = min(s.persistedIndex, s.commitIndex)
 	s.snapshot = &snap
 	s.log = newLogAt(snap.Index, snap.Term)
 	s.configs = []configAt{{index: snap.Index, set: snap.Replicas}}
-	s.commitIndex, s.appliedIndex, s.persistedIndex = snap.Index, snap.Index, snap.Index
+	s.commitIndex, s.appliedIndex = snap.Index, snap.Index
 	s.emit(notch.Restored{Snapshot: snap})
 }
 
@@ -333,10 +337,15 @@
 		s.emit(notch.Committed{Entry: s.log.entryAt(s.appliedIndex)})
 	}
 	if s.snapshotIndex()+uint64(s.limits.SnapshotEntries) <= s.appliedIndex {
-		s.emit(notch.SnapshotDue{Index: s.appliedIndex, Term: s.log.term(s.appliedIndex), Replicas: s.replicaSetAt(s.appliedIndex)})
+		s.emitSnapshotDue()
 	}
 }
 
+// emitSnapshotDue requests a snapshot of what is applied.
+func (s *stepper) emitSnapshotDue() {
+	s.emit(notch.SnapshotDue{Index: s.appliedIndex, Term: s.log.term(s.appliedIndex), Replicas: s.replicaSetAt(s.appliedIndex)})
+}
+
 func (s *stepper) snapshotIndex() uint64 {
 	if s.snapshot == nil {
 		return 0
@@ -347,15 +356,26 @@
 func (s *stepper) saveSnapshot(snap notch.Snapshot) {
 	s.snapshot = &snap
 	s.effects = append(s.effects, notch.SaveSnapshot{Snapshot: snap, KeepFrom: s.keepFrom(snap.Index)})
+	if s.role == roleLeader {
+		s.sendSnapshots()
+	}
 }
 
 // keepFrom returns the index up to which the log may be dropped after a snapshot at
-// index. The entries after it are kept for followers that lag slightly.
+// index. The entries after it are kept for followers that lag slightly, and up to SnapshotEntries
+// more for those that catch up from an earlier snapshot.
 func (s *stepper) keepFrom(index uint64) uint64 {
 	if index <= uint64(s.limits.RetainedEntries) {
 		return 0
 	}
-	return max(index-uint64(s.limits.RetainedEntries), s.log.base)
+	keep := index - uint64(s.limits.RetainedEntries)
+	for _, pr := range s.progress {
+		if s.catchesUp(pr) {
+			keep = min(keep, max(pr.match, pr.sentSnapshot))
+		}
+	}
+	oldest := index - min(index, uint64(s.limits.RetainedEntries+s.limits.SnapshotEntries))
+	return max(keep, oldest, s.log.base)
 }
 
 func (s *stepper) emitReplicas() { s.emit(notch.ReplicasChanged{Set: s.replicaSet()}) }
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	notch "tamaracknotch"
 )
@@ -17,6 +18,10 @@
 	probing        bool       // an append was rejected, and the replica hasn't confirmed the probe after it
 	probedAt       notch.Time // when the probe was sent; rejections of earlier messages are ignored
 	snapshotSentAt notch.Time // when the unacknowledged snapshot was sent; zero: none
+	sentSnapshot   uint64     // index of the snapshot sent last; zero once the replica has caught up
+	roundEnd       uint64     // last index of the log when the round began; the replica's confirmation ends the round
+	roundAt        notch.Time // when the round began
+	shortRound     bool       // the round before took an election timeout at most
 	unconfirmed    []uint64   // last index of each message with entries that isn't confirmed; never modified in place
 }
 
@@ -50,6 +55,17 @@
 	return pr
 }
 
+// withRound returns pr with the next round begun if the replica has confirmed all that the log held
+// at the beginning of this one.
+func (pr progress) withRound(lastIndex uint64, now notch.Time, short time.Duration) progress {
+	if pr.match < pr.roundEnd {
+		return pr
+	}
+	pr.shortRound = pr.roundEnd != 0 && now.Sub(pr.roundAt) <= short
+	pr.roundEnd, pr.roundAt = lastIndex, now
+	return pr
+}
+
 // withNext returns pr with the next entry to send set back to index.
 func (pr progress) withNext(index uint64) progress {
 	pr.next, pr.unconfirmed = index, nil
@@ -158,14 +174,18 @@
 	return max(min(s.sentToJournalIndex, s.log.lastIndex()), s.log.base) + 1
 }
 
+// mayReach reports whether messages may reach a replica. Those for one whose data folder was
+// replaced would reach its successor of the same name, and be rejected in the successor's name.
+func (s *stepper) mayReach(r notch.Replica) bool { return r != s.self && !s.replaced(r) }
+
 // sendAppend sends the next entries to replica i, or a snapshot if the log no longer holds
 // them.
 func (s *stepper) sendAppend(i int) {
 	pr := s.progress[i]
-	if pr.replica == s.self {
+	if !s.mayReach(pr.replica) {
 		return
 	}
-	if pr.next <= s.log.base {
+	if s.needsSnapshot(pr) {
 		s.sendSnapshot(i)
 		return
 	}
@@ -193,6 +213,9 @@
 // not wait for them.
 func (s *stepper) sendHeartbeat(i int) {
 	pr := s.progress[i]
+	if !s.mayReach(pr.replica) {
+		return
+	}
 	if !pr.probing || pr.match < s.log.base {
 		if len(pr.unconfirmed) > 0 && pr.match >= s.log.base {
 			s.sendContact(pr)
@@ -227,11 +250,12 @@
 }
 
 // sendSnapshot sends the snapshot to replica i, unless one was sent recently and isn't
-// acknowledged yet.
+// acknowledged yet. If the latest snapshot is old, a new one is taken first, and sent by
+// [stepper.saveSnapshot]: the entries after an old one may be many times its size.
 func (s *stepper) sendSnapshot(i int) {
 	pr := s.progress[i]
 	pr.lastSentAt = s.now
-	if s.snapshot == nil || (pr.snapshotSentAt != 0 && s.now.Sub(pr.snapshotSentAt) < snapshotTimeoutResends*s.timing.ResendTimeout) {
+	if s.awaitsSnapshot(pr) {
 		// A heartbeat keeps the follower from campaigning while it waits.
 		s.send(pr.replica.Name, notch.AppendRequest{
 			Term: s.hardState.Term, Leader: s.self.Name, PrevIndex: s.log.base,
@@ -240,13 +264,47 @@
 		s.setProgress(i, pr)
 		return
 	}
-	pr.snapshotSentAt = s.now
+	if s.snapshotIndex()+uint64(s.limits.RetainedEntries) < s.appliedIndex {
+		s.setProgress(i, pr)
+		s.emitSnapshotDue()
+		return
+	}
+	pr.snapshotSentAt, pr.sentSnapshot = s.now, s.snapshotIndex()
 	s.setProgress(i, pr)
 	s.send(pr.replica.Name, notch.InstallSnapshot{
 		Term: s.hardState.Term, Leader: s.self.Name, SentAt: s.now, Snapshot: *s.snapshot,
 	})
 }
 
+// sendSnapshots sends the snapshot to the replicas that need one.
+func (s *stepper) sendSnapshots() {
+	for i, pr := range s.progress {
+		if s.needsSnapshot(pr) && !s.awaitsSnapshot(pr) {
+			s.sendAppend(i)
+		}
+	}
+}
+
+// needsSnapshot reports whether the log no longer holds the next entries for the replica.
+func (s *stepper) needsSnapshot(pr progress) bool { return pr.next <= s.log.base }
+
+// awaitsSnapshot reports whether a snapshot was sent to the replica recently and isn't
+// acknowledged yet.
+func (s *stepper) awaitsSnapshot(pr progress) bool {
+	return pr.snapshotSentAt != 0 && s.now.Sub(pr.snapshotSentAt) < s.snapshotTimeout()
+}
+
+// catchesUp reports whether the replica was sent a snapshot and hasn't caught up with the log
+// since. A replica that fell silent doesn't count.
+func (s *stepper) catchesUp(pr progress) bool {
+	return pr.sentSnapshot != 0 && s.now.Sub(max(pr.contactAt, pr.snapshotSentAt)) < s.snapshotTimeout()
+}
+
+// snapshotTimeout is the wait for the acknowledgement of a snapshot before it is sent again.
+func (s *stepper) snapshotTimeout() time.Duration {
+	return snapshotTimeoutResends * s.timing.ResendTimeout
+}
+
 // snapshotTimeoutResends is the number of resend timeouts after which an unacknowledged
 // snapshot is sent again.
 const snapshotTimeoutResends = 10
@@ -296,11 +354,14 @@
 		s.onAppendRejected(i, pr, m)
 		return
 	}
-	pr = pr.withMatch(m.Match)
-	if pr.match >= s.snapshotIndex() {
+	pr = pr.withMatch(m.Match).withRound(s.log.lastIndex(), s.now, s.timing.ElectionTimeout)
+	if pr.match >= pr.sentSnapshot {
 		pr.snapshotSentAt = 0
 	}
-	if pr.match+1 >= pr.next {
+	if pr.match >= pr.sentSnapshot && pr.match+uint64(s.limits.RetainedEntries) >= s.log.lastIndex() {
+		pr.sentSnapshot = 0
+	}
+	if pr.match+1 >= pr.next && !s.needsSnapshot(pr) {
 		pr.probing = false
 	}
 	s.setProgress(i, pr)
