consensus: bound a message with entries by bytes

While a replica caught up, calls and results to it waited for seconds, and so did what it needed to become a voter.

A message took up to 1,024 entries of any size. Entries with documents of 385 KB made messages of many MB, and each repetition of a probe sent them again. A message now ends with the entry that brings it to Limits.BatchBytes, by an estimate from the lengths of texts and lists (notch.CommandSize), so that consensus needs no codec. One entry is always sent, so a document larger than the bound passes.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -35,6 +35,7 @@
 // Limits bounds the messages and the log.
 type Limits struct {
 	BatchEntries    int // maximum number of entries in one message
+	BatchBytes      int // a message with entries of this estimated size gets no further entry
 	FlushLag        int // a flush sends nothing to a replica with more unsent entries than this
 	SnapshotEntries int // number of entries applied between two snapshots
 	RetainedEntries int // entries kept before the snapshot, for followers that lag slightly
@@ -42,7 +43,7 @@
 }
 
 // DefaultLimits is for entries of a few hundred bytes to a few kilobytes.
-var DefaultLimits = Limits{BatchEntries: 1024, FlushLag: 8192, SnapshotEntries: 4000, RetainedEntries: 500, LearnerLag: 64}
+var DefaultLimits = Limits{BatchEntries: 1024, BatchBytes: 256 << 10, FlushLag: 8192, SnapshotEntries: 4000, RetainedEntries: 500, LearnerLag: 64}
 
 type role uint8
 
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -46,6 +46,19 @@
 	return out
 }
 
+// batch returns entries from index on for one message: at most n entries, and no further one once
+// they have the given size in bytes.
+func (l log) batch(index uint64, n, size int) []notch.LogEntry {
+	end := min(l.lastIndex(), index+uint64(n)-1)
+	var out []notch.LogEntry
+	for i := index; i <= end && size > 0; i++ {
+		e := l.entryAt(i)
+		out = append(out, e)
+		size -= notch.CommandSize(e.Command)
+	}
+	return out
+}
+
 func (l log) withEntry(e notch.LogEntry) log {
 	l.entries = l.entries.Append(e)
 	return l
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -189,7 +189,7 @@
 		s.sendSnapshot(i)
 		return
 	}
-	entries := s.log.slice(pr.next, s.limits.BatchEntries)
+	entries := s.log.batch(pr.next, s.limits.BatchEntries, s.limits.BatchBytes)
 	s.send(pr.replica.Name, notch.AppendRequest{
 		Term: s.hardState.Term, Leader: s.self.Name,
 		PrevIndex: pr.next - 1, PrevTerm: s.log.term(pr.next - 1),
