consensus: heartbeats and repeated probes add no entries for a silent replica

When a replica returned after a silence, calls and results waited behind MB of entries that had been queued for it, most of them useless.

Each heartbeat carried the entries that waited, beyond the four messages that a replica may have to confirm, and a probe was repeated each 1.2 s whether or not anything came back. The links keep what is sent to a silent peer. A heartbeat now carries entries only while fewer than four messages aren't confirmed, and a probe is repeated only if the replica has answered since. Lost messages are still found: an empty heartbeat follows the last entry sent, and is rejected.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -26,7 +26,7 @@
 }
 
 // maxUnconfirmedAppends is the number of messages with entries that a replica may have to confirm
-// before further entries wait for one another and go into one message. A heartbeat may exceed it.
+// before further entries wait for one another and go into one message.
 const maxUnconfirmedAppends = 4
 
 // mayAppend reports whether entries may be sent to the replica as soon as there are some.
@@ -40,8 +40,7 @@
 		return pr
 	}
 	pr.next += uint64(n)
-	kept := pr.unconfirmed[:min(len(pr.unconfirmed), maxUnconfirmedAppends-1)]
-	pr.unconfirmed = append(slices.Clip(kept), pr.next-1)
+	pr.unconfirmed = append(slices.Clip(pr.unconfirmed), pr.next-1)
 	return pr
 }
 
@@ -189,7 +188,12 @@
 		s.sendSnapshot(i)
 		return
 	}
-	entries := s.log.batch(pr.next, s.limits.BatchEntries, s.limits.BatchBytes)
+	s.sendEntries(i, s.log.batch(pr.next, s.limits.BatchEntries, s.limits.BatchBytes))
+}
+
+// sendEntries sends entries to replica i that follow those sent before; none make a heartbeat.
+func (s *stepper) sendEntries(i int, entries []notch.LogEntry) {
+	pr := s.progress[i]
 	s.send(pr.replica.Name, notch.AppendRequest{
 		Term: s.hardState.Term, Leader: s.self.Name,
 		PrevIndex: pr.next - 1, PrevTerm: s.log.term(pr.next - 1),
@@ -204,9 +208,10 @@
 // a probe.
 const probeTimeoutResends = 4
 
-// sendHeartbeat sends a heartbeat to replica i, with entries if it lacks some. While the
-// replica is being probed the heartbeat is empty, so that a replica far behind doesn't
-// receive the same entries repeatedly.
+// sendHeartbeat sends a heartbeat to replica i, with entries if it lacks some and may be sent
+// further ones. While the replica is being probed the heartbeat is empty, so that a replica far
+// behind doesn't receive the same entries repeatedly. A probe is repeated only if the replica has
+// answered since: what is sent to a silent one queues on its link.
 //
 // A heartbeat follows the last entry that was sent, so a replica can accept it only after the
 // messages before it. While some of these aren't confirmed, another heartbeat is sent that need
@@ -216,18 +221,22 @@
 	if !s.mayReach(pr.replica) {
 		return
 	}
-	if !pr.probing || pr.match < s.log.base {
-		if len(pr.unconfirmed) > 0 && pr.match >= s.log.base {
-			s.sendContact(pr)
+	if pr.probing && pr.match >= s.log.base {
+		if s.now.Sub(pr.probedAt) >= probeTimeoutResends*s.timing.ResendTimeout && pr.contactAt > pr.probedAt {
+			s.probe(i)
+			return
 		}
-		s.sendAppend(i)
+		s.sendContact(pr)
 		return
 	}
-	if s.now.Sub(pr.probedAt) >= probeTimeoutResends*s.timing.ResendTimeout {
-		s.probe(i)
+	if len(pr.unconfirmed) > 0 && pr.match >= s.log.base {
+		s.sendContact(pr)
+	}
+	if len(pr.unconfirmed) < maxUnconfirmedAppends || s.needsSnapshot(pr) {
+		s.sendAppend(i)
 		return
 	}
-	s.sendContact(pr)
+	s.sendEntries(i, nil)
 }
 
 // sendContact sends a heartbeat that follows the last entry which the replica has confirmed, so
