ctl: scripts draw their ports below those that the system gives away

TestPrograms/whole-path failed once in nine runs of beside other work: "listen tcp 127.79.15.2:35819: bind: address already in use", on a loopback address of its own. A script frees its ports before the daemons open them, and a process that listens on all addresses at a port of the system's choice can be given one of them in between; which process it was isn't known. The ports are now drawn from 10,000 to 30,000, which the system doesn't choose from.

--- a/ctl/script_test.go
+++ b/ctl/script_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -41,15 +43,22 @@
 // lastScript numbers the scripts of this process.
 var lastScript atomic.Uint32
 
+// The range from which the ports of scripts are drawn. It is below the ports that the system gives
+// to listeners and connections that ask for any.
+const (
+	minScriptPort = 10_000
+	maxScriptPort = 30_000
+)
+
 // setPorts sets P1 to P9 to addresses with free ports, on a loopback address that the script
-// shares with no other script: neither a script that runs in parallel nor an outgoing connection
-// takes a port between its choice and its use.
+// shares with no other script: neither a script that runs in parallel nor a process that lets the
+// system choose a port takes one between its choice and its use.
 func setPorts(e *testscript.Env) error {
 	pid := os.Getpid()
 	host := net.IPv4(127, byte(1+pid>>8%200), byte(pid), byte(lastScript.Add(1))).String()
 	var listeners []net.Listener
 	for i := 1; i <= 9; i++ {
-		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		l, err := listenAtFreePort(host)
 		if err != nil {
 			return err
 		}
@@ -65,6 +74,20 @@
 	return nil
 }
 
+// listenAtFreePort listens at a port of the host that is drawn from the range of scripts.
+func listenAtFreePort(host string) (net.Listener, error) {
+	const draws = 100
+	var err error
+	for range draws {
+		var l net.Listener
+		port := minScriptPort + rand.IntN(maxScriptPort-minScriptPort)
+		if l, err = net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(port))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 // awaitTimeout bounds the script command await.
 const awaitTimeout = 30 * time.Second
 
