link: compress messages from 128 KB on

Callers were served a little less with messages of 16 KB and more compressed: the usual messages with log entries have 16 to 100 KB, and compressing each for four replicas costs the leader time that its plans lack.

--- a/link/link.go
+++ b/link/link.go
@@ -36,7 +36,7 @@
 
 // compressionThreshold is the size in bytes from which messages are compressed: snapshots, entries
 // and results with whole tables. A daemon that doesn't negotiate compression gets them as they are.
-const compressionThreshold = 16 << 10
+const compressionThreshold = 128 << 10
 
 // Post queues an event for the control loop. It must not block.
 type Post func(notch.Body)
