flow: tell startSession whether the agent was restarted

The stepper kept all agents as they were before the step to find that out. No behaviour changes: flow, lease, script and the lease tests and random workflows of fake pass.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -127,7 +127,7 @@
 	}
 	s.agents = s.agents.Set(a.ID, a)
 	if !ok || old.Born != a.Born {
-		s.startSession(a, s.now)
+		s.startSession(a, ok)
 	}
 	if session, known := s.sessions.Get(a.ID); known && a.Left {
 		session.leftAt = s.now
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -156,7 +156,7 @@
 
 // Step implements [notch.Part].
 func (p Part) Step(e notch.Event) (notch.Part, []notch.Effect) {
-	s := stepper{Part: p, agentsBefore: p.agents, now: e.At, unixMilli: e.UnixMilli, seed: e.Seed}
+	s := stepper{Part: p, now: e.At, unixMilli: e.UnixMilli, seed: e.Seed}
 	switch b := e.Body.(type) {
 	case notch.Committed:
 		s.apply(b.Entry)
@@ -201,11 +201,10 @@
 // stepper is a Part during a step, with the effects so far.
 type stepper struct {
 	Part
-	agentsBefore *immutable.SortedMap[string, notch.Agent] // before the step
-	now          notch.Time
-	unixMilli    int64 // Unix time in ms
-	seed         uint64
-	out          []notch.Effect
+	now       notch.Time
+	unixMilli int64 // Unix time in ms
+	seed      uint64
+	out       []notch.Effect
 }
 
 func (s *stepper) emit(b notch.Body) { s.out = append(s.out, notch.Emit{Body: b}) }
--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -126,18 +126,19 @@
 // later incarnation with the same id.
 func (s *stepper) token() uint64 { return s.leadership.Term<<incarnationBits | s.incarnations }
 
-// startSession starts the session of a new incarnation of an agent.
-func (s *stepper) startSession(a notch.Agent, now notch.Time) {
+// startSession starts the session of a new incarnation of an agent, which is known by an earlier one
+// if it was restarted.
+func (s *stepper) startSession(a notch.Agent, restarted bool) {
 	if !s.leads() {
 		return
 	}
 	s.incarnations++
 	// No other leader has granted this incarnation a lease, but it may still carry out orders
 	// to the earlier incarnation.
-	l := lease.New(now)
-	if _, restarted := s.agentsBefore.Get(a.ID); restarted {
+	l := lease.New(s.now)
+	if restarted {
 		l = l.WithStaleGrants(s.timing.MaxLease)
 	}
-	s.sessions = s.sessions.Set(a.ID, agentSession{incarnation: a.Incarnation(), token: s.token(), lease: l, staleOrdersUntil: now.Add(maxOrderDelay)})
+	s.sessions = s.sessions.Set(a.ID, agentSession{incarnation: a.Incarnation(), token: s.token(), lease: l, staleOrdersUntil: s.now.Add(maxOrderDelay)})
 	s.renewLease(a.ID)
 }
