--- a/message.go
+++ b/message.go
@@ -87,8 +87,8 @@
 // LeaderQuery asks a replica which replica leads.
 type LeaderQuery struct{ SentAt Time }
 
-// Hello is the first message on a link. It is sent again when its content
-// changes.
+// Hello is the first message on a link. When its content changes, the next handshakes carry the
+// new one; peers that are linked already aren't told.
 type Hello struct {
 	Daemon  Daemon
 	Storage uint64   // id of the sender's data folder; zero: it has none
