Test: replicas whose disks were full in turn (fails)

The simulated disk can be full, and has room again later. The script fills the disks of three of five control replicas in turn, never two at once, and expects edits and jobs to be answered 10 s after the last has room, and the three to be a quorum by themselves.

--- a/drive/disk.go
+++ b/drive/disk.go
@@ -12,6 +12,7 @@
 type Disk struct {
 	Storage uint64
 	Failing bool // syncs fail; Start clears it
+	Full    bool // syncs fail while it is set
 
 	hardState    notch.HardState
 	snapshot     *notch.Snapshot
@@ -73,7 +74,7 @@
 			return
 		}
 		d.pendingSyncs--
-		if d.Failing {
+		if d.Failing || d.Full {
 			sim.Post(n, notch.PersistFailed{Reason: "sync failed"})
 			return
 		}
--- a/script/control.go
+++ b/script/control.go
@@ -31,6 +31,8 @@
 
 func (r *scriptState) wipe(args []string) { r.Wipe(r.node(args[0])) }
 
+func (r *scriptState) diskFull(args []string) { r.node(args[0]).Disk.Full = isYes(args[1]) }
+
 func (r *scriptState) failSync(args []string) { r.node(args[0]).Disk.Failing = true }
 
 // stopDaemon stops a daemon gracefully: it starts its shutdown and is killed 300 ms
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -13,3 +13,8 @@
 func TestStepScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{Dir: "testdata/step", Cmds: StepCommands(), Setup: SetupStep})
 }
+
+// Guards against replicas that stay lost after their disk was full for a while.
+func TestReplicasReturnAfterFullDisks(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/full-disk", Cmds: Commands(), Setup: Setup})
+}
