--- a/wal/wal.go
+++ b/wal/wal.go
@@ -127,6 +127,9 @@
 	}
 	segments := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return !strings.HasPrefix(n, segmentPrefix) })
 	log := recoveredLog{}
+	if r.Snapshot != nil {
+		log.snapshotIndex = r.Snapshot.Index
+	}
 	length := int64(0)
 	for i, name := range segments {
 		if length, err = j.loadSegment(name, i == len(segments)-1, &log); err != nil {
@@ -197,9 +200,7 @@
 			return 0, errors.Wrapf(notch.ErrCorrupt, "%s: %v", name, err)
 		}
 		for _, r := range records {
-			if err := log.add(r); err != nil {
-				return 0, errors.Wrap(err, name)
-			}
+			log.add(r)
 			j.segmentLast = max(j.segmentLast, lastIndex(r.Entries))
 		}
 	}
