--- a/wal/wal.go
+++ b/wal/wal.go
@@ -147,6 +147,10 @@
 	if j.segment, err = j.files.OpenAppend(segmentName(j.segmentSeq), length); err != nil {
 		return r, errors.Wrap(err, "open log")
 	}
+	// The process before may have ended before it synced its last frame.
+	if err := j.segment.Sync(); err != nil {
+		return r, errors.Wrap(err, "sync log")
+	}
 	return r, errors.Wrap(j.files.SyncFolder(), "sync data folder")
 }
 
