--- a/runner.go
+++ b/runner.go
@@ -1,7 +1,8 @@
 package notch
 
 // Journal stores a replica's log and snapshots on disk. Its methods are called
-// from one goroutine at a time.
+// from one goroutine at a time. A write that failed may be repeated, unless the error
+// is ErrCorrupt: it has no effect before it succeeds.
 type Journal interface {
 	// Load returns the synced state. It returns ErrCorrupt if the data is
 	// damaged.
--- a/wal/disk_test.go
+++ b/wal/disk_test.go
@@ -114,6 +114,16 @@
 	return diskFile{d, c}, nil
 }
 
+func (d *disk) Rewrite(name string, from int64) error {
+	if d.fails(opWrite) {
+		return errDisk
+	}
+	if c := d.files[name]; c != nil {
+		c.lostTo = min(c.lostTo, int(from))
+	}
+	return nil
+}
+
 func (d *disk) WriteAtomic(name string, b []byte) error {
 	if d.fails(opAtomic) {
 		return errDisk
--- a/wal/folder.go
+++ b/wal/folder.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 )
@@ -33,20 +34,62 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := file.Truncate(length); err != nil {
-		file.Close()
-		return nil, err
-	}
-	if _, err := file.Seek(length, 0); err != nil {
+	if err := cutTo(file, length); err != nil {
 		file.Close()
 		return nil, err
 	}
 	return file, nil
 }
 
+// cutTo truncates a file to length bytes, unless it has that length, and moves to its end.
+func cutTo(file *os.File, length int64) error {
+	end, err := file.Seek(0, io.SeekEnd)
+	if err != nil || end == length {
+		return err
+	}
+	if err := file.Truncate(length); err != nil {
+		return err
+	}
+	_, err = file.Seek(length, io.SeekStart)
+	return err
+}
+
+// Rewrite implements [FileSystem].
+func (f Folder) Rewrite(name string, from int64) error {
+	file, err := os.OpenFile(f.path(name), os.O_RDWR, 0o600)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	end, err := file.Seek(0, io.SeekEnd)
+	if err != nil {
+		return err
+	}
+	b := make([]byte, end-from)
+	if _, err := file.ReadAt(b, from); err != nil {
+		return err
+	}
+	_, err = file.WriteAt(b, from)
+	return err
+}
+
 // WriteAtomic implements [FileSystem].
 func (f Folder) WriteAtomic(name string, b []byte) error {
-	file, err := os.OpenFile(f.path(name+tempSuffix), os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	temporary := f.path(name + tempSuffix)
+	err := writeSynced(temporary, b)
+	if err == nil {
+		err = os.Rename(temporary, f.path(name))
+	}
+	if err != nil {
+		os.Remove(temporary)
+		return err
+	}
+	return f.SyncFolder()
+}
+
+// writeSynced creates or overwrites a file and syncs it.
+func writeSynced(path string, b []byte) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
 	if err != nil {
 		return err
 	}
@@ -57,13 +100,7 @@
 	if cerr := file.Close(); err == nil {
 		err = cerr
 	}
-	if err != nil {
-		return err
-	}
-	if err := os.Rename(f.path(name+tempSuffix), f.path(name)); err != nil {
-		return err
-	}
-	return f.SyncFolder()
+	return err
 }
 
 // Remove implements [FileSystem].
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -1,6 +1,6 @@
 // Package wal is the write-ahead log of a replica. It stores the log and the
 // snapshots as files in one data folder. A write is acknowledged only after it is
-// synced.
+// synced. A write that failed may be repeated: the next one first removes what it left.
 //
 // The folder contains the file "identity", one file "snapshot-INDEX", and log segments
 // named "log-SEQ". A segment is a sequence of frames; each sync writes one frame. Every
@@ -33,10 +33,12 @@
 	List() ([]string, error)
 	Read(name string) ([]byte, error)
 	// OpenAppend opens a file for appending and truncates it to length bytes. It
-	// creates the file if needed.
+	// creates the file if needed. If the file has that length, nothing is written.
 	OpenAppend(name string, length int64) (File, error)
+	// Rewrite writes again, in place, what a file holds from an offset on.
+	Rewrite(name string, from int64) error
 	// WriteAtomic creates or replaces a file and syncs it. An existing file keeps its
-	// old content until the new content is complete.
+	// old content until the new content is complete. If it fails, no other file is left.
 	WriteAtomic(name string, b []byte) error
 	Remove(name string) error
 	SyncFolder() error
@@ -58,13 +60,15 @@
 // Journal implements [notch.Journal] on a file system.
 type Journal struct {
 	files        FileSystem
-	segment      File
+	segment      File              // the current segment; nil if it has to be opened before the next write
 	segmentSeq   uint64            // of the current segment
-	closedLast   map[uint64]uint64 // highest entry index of each closed segment, and after Load also of the current one
+	syncedLength int64             // of the current segment; bytes after it belong to a write that failed
+	lastFrame    int64             // offset of the last frame that Load has read
 	segmentLast  uint64            // highest entry index of the current segment
+	closedLast   map[uint64]uint64 // highest entry index of each closed segment, and after Load also of the current one
 	hardState    notch.HardState
-	snapshotName string // name of the latest snapshot file
-	writeErr     error  // the first error of a write or sync; nothing is written after it
+	snapshotName string   // name of the latest snapshot file
+	oldSnapshots []string // names of the snapshot files to remove
 }
 
 // New returns a journal that stores its data in files. Load must be called before any
@@ -130,9 +134,9 @@
 	if r.Snapshot != nil {
 		log.snapshotIndex = r.Snapshot.Index
 	}
-	length := int64(0)
+	torn := false
 	for i, name := range segments {
-		if length, err = j.loadSegment(name, i == len(segments)-1, &log); err != nil {
+		if torn, err = j.loadSegment(name, i == len(segments)-1, &log); err != nil {
 			return r, err
 		}
 	}
@@ -144,21 +148,42 @@
 	if j.segmentSeq == 0 {
 		j.segmentSeq = 1
 	}
-	if j.segment, err = j.files.OpenAppend(segmentName(j.segmentSeq), length); err != nil {
-		return r, errors.Wrap(err, "open log")
+	j.removeTemporary(names)
+	return r, j.syncLoaded(torn)
+}
+
+// syncLoaded syncs what the process before may have left unsynced: names, and the last frame unless a
+// torn one follows it.
+func (j *Journal) syncLoaded(torn bool) error {
+	if err := j.files.SyncFolder(); err != nil {
+		return errors.Wrap(err, "sync data folder")
 	}
-	// The process before may have ended before it synced its last frame.
-	if err := j.segment.Sync(); err != nil {
-		return r, errors.Wrap(err, "sync log")
+	if torn {
+		// On a full disk the torn frame may have to stay until the next write.
+		_ = j.openSegment()
+		return nil
+	}
+	// If a sync of the frame has failed, the next sync includes it only if it is written again. A full
+	// disk may refuse this; then the sync has to do.
+	_ = j.files.Rewrite(segmentName(j.segmentSeq), j.lastFrame)
+	return j.openSegment()
+}
+
+// removeTemporary removes the files that the process before didn't complete. One that can't be
+// removed does no harm.
+func (j *Journal) removeTemporary(names []string) {
+	for _, name := range names {
+		if strings.HasSuffix(name, tempSuffix) {
+			_ = j.files.Remove(name)
+		}
 	}
-	return r, errors.Wrap(j.files.SyncFolder(), "sync data folder")
 }
 
 // loadSnapshot returns the latest snapshot, or nil if the folder holds none.
 func (j *Journal) loadSnapshot(names []string) (*notch.Snapshot, error) {
 	for _, name := range names {
 		if strings.HasPrefix(name, snapshotPrefix) && !strings.HasSuffix(name, tempSuffix) {
-			j.snapshotName = name
+			j.replaceSnapshot(name)
 		}
 	}
 	if j.snapshotName == "" {
@@ -179,37 +204,41 @@
 	return &s, nil
 }
 
-// loadSegment adds the records of a segment to log. It returns the length of the part of
-// the file that holds whole frames.
-func (j *Journal) loadSegment(name string, last bool, log *recoveredLog) (length int64, err error) {
+// loadSegment makes a segment the current one and adds its records to log. It reports whether the
+// segment ends in a torn frame.
+func (j *Journal) loadSegment(name string, last bool, log *recoveredLog) (torn bool, err error) {
 	seq, err := strconv.ParseUint(strings.TrimPrefix(name, segmentPrefix), 10, 64)
 	if err != nil {
-		return 0, errors.Wrapf(notch.ErrCorrupt, "segment file %q has no sequence number", name)
+		return false, errors.Wrapf(notch.ErrCorrupt, "segment file %q has no sequence number", name)
 	}
 	b, err := j.files.Read(name)
 	if err != nil {
-		return 0, errors.Wrapf(err, "read %s", name)
+		return false, errors.Wrapf(err, "read %s", name)
 	}
 	payloads, length, err := decodeFrames(b)
 	if err != nil {
-		return 0, errors.Wrap(err, name)
+		return false, errors.Wrap(err, name)
+	}
+	torn = length != int64(len(b))
+	if !last && torn {
+		return false, errors.Wrapf(notch.ErrCorrupt, "%s ends in a torn frame but isn't the last segment", name)
 	}
-	if !last && length != int64(len(b)) {
-		return 0, errors.Wrapf(notch.ErrCorrupt, "%s ends in a torn frame but isn't the last segment", name)
+	j.segmentLast, j.lastFrame = 0, 0
+	if n := len(payloads); n > 0 {
+		j.lastFrame = length - frameHeaderSize - int64(len(payloads[n-1]))
 	}
-	j.segmentLast = 0
 	for _, p := range payloads {
 		records, err := wire.DecodeRecords(p)
 		if err != nil {
-			return 0, errors.Wrapf(notch.ErrCorrupt, "%s: %v", name, err)
+			return false, errors.Wrapf(notch.ErrCorrupt, "%s: %v", name, err)
 		}
 		for _, r := range records {
 			log.add(r)
 			j.segmentLast = max(j.segmentLast, lastIndex(r.Entries))
 		}
 	}
-	j.segmentSeq, j.closedLast[seq] = seq, j.segmentLast
-	return length, nil
+	j.segmentSeq, j.syncedLength, j.closedLast[seq] = seq, length, j.segmentLast
+	return torn, nil
 }
 
 // lastIndex returns the index of the last entry in es, or 0.
@@ -222,14 +251,9 @@
 
 // Append implements [notch.Journal].
 func (j *Journal) Append(records []notch.Persist) error {
-	if j.writeErr != nil {
-		return j.writeErr
-	}
 	var rs []wire.Record
 	for _, r := range records {
-		j.hardState = r.Hard
 		rs = append(rs, wire.Record{Hard: r.Hard, Entries: r.Entries})
-		j.segmentLast = max(j.segmentLast, lastIndex(r.Entries))
 	}
 	return j.appendRecords(rs)
 }
@@ -240,91 +264,114 @@
 	if err != nil {
 		return err
 	}
-	if _, err := j.segment.Write(encodeFrame(b)); err != nil {
-		return j.fail(err, "write log")
+	if err := j.openSegment(); err != nil {
+		return err
+	}
+	frame := encodeFrame(b)
+	if _, err := j.segment.Write(frame); err != nil {
+		j.closeSegment()
+		return errors.Wrap(err, "write log")
 	}
 	if err := j.segment.Sync(); err != nil {
-		// It isn't known what a failed sync has written, so it can't be retried.
-		return j.fail(err, "sync log")
+		// A second sync may succeed without what the first one failed to write. So the frame is
+		// removed, before another process takes it for synced, and has to be written again.
+		j.closeSegment()
+		_ = j.openSegment()
+		return errors.Wrap(err, "sync log")
+	}
+	j.syncedLength += int64(len(frame))
+	for _, r := range rs {
+		j.hardState = r.Hard
+		j.segmentLast = max(j.segmentLast, lastIndex(r.Entries))
+	}
+	return nil
+}
+
+// openSegment opens the current segment if it isn't open. The file then ends after the last frame
+// that counts, and is synced.
+func (j *Journal) openSegment() error {
+	if j.segment != nil {
+		return nil
+	}
+	f, err := j.files.OpenAppend(segmentName(j.segmentSeq), j.syncedLength)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	if err := f.Sync(); err != nil {
+		f.Close()
+		return errors.Wrap(err, "sync log")
+	}
+	if err := j.files.SyncFolder(); err != nil {
+		f.Close()
+		return errors.Wrap(err, "sync data folder")
 	}
+	j.segment = f
 	return nil
 }
 
-// fail records a failed write, after which the journal writes nothing more.
-func (j *Journal) fail(err error, operation string) error {
-	j.writeErr = errors.Wrap(err, operation)
-	return j.writeErr
+// closeSegment closes the current segment. Everything that counts is synced, so errors do no harm.
+func (j *Journal) closeSegment() {
+	j.segment.Close()
+	j.segment = nil
 }
 
 // SaveSnapshot implements [notch.Journal].
 func (j *Journal) SaveSnapshot(s notch.SaveSnapshot) error {
-	if j.writeErr != nil {
-		return j.writeErr
-	}
 	b, err := wire.EncodeSnapshot(s.Snapshot)
 	if err != nil {
 		return err
 	}
 	name := fmt.Sprintf("%s%020d", snapshotPrefix, s.Snapshot.Index)
 	if err := j.files.WriteAtomic(name, encodeFrame(b)); err != nil {
-		return j.fail(err, "write snapshot")
+		return errors.Wrap(err, "write snapshot")
 	}
+	j.replaceSnapshot(name)
 	if err := j.rollSegment(s); err != nil {
 		return err
 	}
-	old := j.snapshotName
-	j.snapshotName = name
-	if old != "" && old != name {
-		return errors.Wrap(j.files.Remove(old), "remove old snapshot")
-	}
+	j.removeOld(s)
 	return nil
 }
 
-// rollSegment starts a new segment and removes those that are no longer needed.
+// replaceSnapshot makes the named file the latest snapshot.
+func (j *Journal) replaceSnapshot(name string) {
+	if j.snapshotName != "" && j.snapshotName != name {
+		j.oldSnapshots = append(j.oldSnapshots, j.snapshotName)
+	}
+	j.snapshotName = name
+}
+
+// rollSegment starts a new segment. If it fails, the next call goes on with the same segment.
 func (j *Journal) rollSegment(s notch.SaveSnapshot) error {
-	if err := j.segment.Close(); err != nil {
-		return j.fail(err, "close log")
+	// Only the last segment may end in a torn frame, so this one has to be repaired first.
+	if err := j.openSegment(); err != nil {
+		return err
 	}
-	j.closedLast[j.segmentSeq] = j.segmentLast
-	j.segmentSeq++
-	j.segmentLast = 0
-	f, err := j.files.OpenAppend(segmentName(j.segmentSeq), 0)
-	if err != nil {
-		return j.fail(err, "open log")
+	if j.syncedLength > 0 {
+		j.closeSegment()
+		j.closedLast[j.segmentSeq] = j.segmentLast
+		j.segmentSeq++
+		j.segmentLast, j.syncedLength = 0, 0
 	}
-	j.segment = f
 	first := wire.Record{Hard: j.hardState}
 	if s.Replace {
 		first.Reset = s.Snapshot.Index
 	}
-	if err := j.appendRecords([]wire.Record{first}); err != nil {
-		return err
-	}
-	if err := j.files.SyncFolder(); err != nil {
-		return j.fail(err, "sync data folder")
-	}
-	// Segments are removed in ascending order: see isOldest.
-	for _, seq := range slices.Sorted(maps.Keys(j.closedLast)) {
-		last := j.closedLast[seq]
-		if seq < j.segmentSeq && (s.Replace || last <= s.KeepFrom) && j.isOldest(seq) {
-			if err := j.files.Remove(segmentName(seq)); err != nil {
-				return errors.Wrap(err, "remove old log")
-			}
-			delete(j.closedLast, seq)
-		}
-	}
-	return nil
+	return j.appendRecords([]wire.Record{first})
 }
 
-// isOldest reports whether no segment older than seq is left. A segment is removed only
-// then, so that the remaining segments are contiguous.
-func (j *Journal) isOldest(seq uint64) bool {
-	for other := range j.closedLast {
-		if other < seq {
-			return false
+// removeOld removes the files that the snapshot makes unnecessary. What can't be removed now is
+// removed after the next snapshot.
+func (j *Journal) removeOld(s notch.SaveSnapshot) {
+	j.oldSnapshots = slices.DeleteFunc(j.oldSnapshots, func(name string) bool { return j.files.Remove(name) == nil })
+	// Segments are removed in ascending order, so that the remaining ones are contiguous.
+	for _, seq := range slices.Sorted(maps.Keys(j.closedLast)) {
+		last := j.closedLast[seq]
+		if seq == j.segmentSeq || !s.Replace && last > s.KeepFrom || j.files.Remove(segmentName(seq)) != nil {
+			return
 		}
+		delete(j.closedLast, seq)
 	}
-	return true
 }
 
 // Close implements [notch.Journal].
