Replicas return after their disk was full

The cause: the journaler ended with the first write that failed, and consensus ignored all events from then on, until a restart that nothing asked for. As a voter such a replica still counted, so losses far apart added up.

The journaler now repeats a failed write every 200 ms, in order, and acknowledges nothing before. A handover, at a shutdown too, no longer goes to a voter that has been silent for an election timeout.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -78,7 +78,8 @@
 	persistedIndex uint64     // last entry synced on this replica
 	commitIndex    uint64
 	appliedIndex   uint64
-	failed         bool // the journal failed; the replica ignores all events until it restarts
+	failed         bool       // the journal is damaged; the replica ignores all events until it restarts
+	failingSince   notch.Time // when the journal began to fail; zero: it works
 
 	role           role
 	leader         string
@@ -189,6 +190,10 @@
 		s.stepDown("")
 		s.failed = true
 		s.logMessage("journal failed; this replica takes no further part: " + b.Reason)
+	case notch.JournalFailing:
+		s.onJournalFailing(b)
+	case notch.JournalRecovered:
+		s.onJournalRecovered()
 	case notch.SnapshotTaken:
 		s.saveSnapshot(b.Snapshot)
 	case notch.SnapshotSaved:
@@ -209,6 +214,9 @@
 }
 
 func (s *stepper) receive(from string, m notch.Message) {
+	if s.journalFailing() && s.onMessageWhileFailing(m) {
+		return
+	}
 	switch m := m.(type) {
 	case notch.VoteRequest:
 		s.onVoteRequest(m)
@@ -264,7 +272,7 @@
 	if s.electionDue == 0 {
 		s.resetElection()
 	}
-	if s.now.Before(s.electionDue) || !s.isVoter() || s.stopping {
+	if s.now.Before(s.electionDue) || !s.isVoter() || s.stopping || s.journalFailing() {
 		return
 	}
 	s.campaign(rolePreCandidate)
--- a/consensus/dump.go
+++ b/consensus/dump.go
@@ -18,6 +18,7 @@
 	Learners  []string   `json:"learners,omitempty"`
 	Wanted    []string   `json:"wanted,omitempty"`
 	Failed    bool       `json:"failed,omitempty"`
+	Failing   bool       `json:"journal-failing,omitempty"`
 	Followers []Follower `json:"followers,omitempty"`
 }
 
@@ -27,6 +28,8 @@
 	Voter bool   `json:"voter"`
 	Match uint64 `json:"match"`
 	Next  uint64 `json:"next"`
+	// SilentMs is the time since the leader sent the latest message that the replica answered.
+	SilentMs int64 `json:"silent-ms"`
 }
 
 // Dump implements [notch.Dumper].
@@ -34,7 +37,7 @@
 	s := State{
 		Part: "consensus", Replica: p.self.Name, Storage: p.self.Storage, Role: p.role.String(), Term: p.hardState.Term,
 		Vote: p.hardState.Vote, Leader: p.leader, LogBase: p.log.base, LastIndex: p.log.lastIndex(), Persisted: p.persistedIndex,
-		Commit: p.commitIndex, Wanted: p.desiredVoters, Failed: p.failed,
+		Commit: p.commitIndex, Wanted: p.desiredVoters, Failed: p.failed, Failing: p.failingSince != 0,
 	}
 	if p.snapshot != nil {
 		s.Snapshot = p.snapshot.Index
@@ -46,7 +49,11 @@
 		s.Learners = append(s.Learners, l.Name)
 	}
 	for _, pr := range p.progress {
-		s.Followers = append(s.Followers, Follower{Name: pr.replica.Name, Voter: pr.voter, Match: pr.match, Next: pr.next})
+		f := Follower{Name: pr.replica.Name, Voter: pr.voter, Match: pr.match, Next: pr.next}
+		if pr.replica != p.self {
+			f.SilentMs = p.lastTickAt.Sub(max(pr.contactAt, p.electedAt)).Milliseconds()
+		}
+		s.Followers = append(s.Followers, f)
 	}
 	return s
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -194,14 +194,15 @@
 	s.emit(l)
 }
 
-// transferLeadership asks the voter with the highest match index to campaign at once.
+// transferLeadership asks the voter with the highest match index, of those that answer, to campaign
+// at once.
 func (s *stepper) transferLeadership() {
 	if s.role != roleLeader {
 		return
 	}
 	best := -1
 	for i, pr := range s.progress {
-		if pr.voter && pr.replica != s.self && (best < 0 || pr.match > s.progress[best].match) {
+		if s.mayTakeOver(pr) && (best < 0 || pr.match > s.progress[best].match) {
 			best = i
 		}
 	}
@@ -211,3 +212,8 @@
 	s.sendAppend(best)
 	s.send(s.progress[best].replica.Name, notch.TimeoutNow{Term: s.hardState.Term})
 }
+
+// mayTakeOver reports whether a replica is another voter that answers the leader.
+func (s *stepper) mayTakeOver(pr progress) bool {
+	return pr.voter && pr.replica != s.self && s.silentFor(pr.replica) < s.timing.ElectionTimeout
+}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -9,7 +9,7 @@
 // propose appends a command, unless the log holds it already: the daemon that waits for the result
 // sends it again while it isn't applied yet.
 func (s *stepper) propose(b notch.Proposal) {
-	if s.role == roleLeader && !s.stopping && s.hasEnoughVoters() && !s.isPending(b) {
+	if s.role == roleLeader && !s.stopping && s.hasEnoughVoters() && !s.hasManyUnsynced() && !s.isPending(b) {
 		s.appendCommand(b)
 	}
 }
@@ -190,7 +190,7 @@
 		s.updateQuorumContact()
 	}
 	s.reconcileMembership()
-	if s.stopping {
+	if s.stopping || s.journalFailing() {
 		s.transferLeadership()
 	}
 }
--- a/drive/disk.go
+++ b/drive/disk.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	notch "tamaracknotch"
 )
@@ -12,13 +13,14 @@
 type Disk struct {
 	Storage uint64
 	Failing bool // syncs fail; Start clears it
-	Full    bool // syncs fail while it is set
+	Full    bool // syncs fail while it is set, and are repeated
 
 	hardState    notch.HardState
 	snapshot     *notch.Snapshot
 	entries      []notch.LogEntry
-	pendingSyncs int // syncs that have not completed
-	crashCount   int // syncs that began before the latest crash are dropped
+	pendingSyncs int            // syncs that have not completed
+	waiting      []notch.Effect // syncs that found the disk full, and those after them
+	crashCount   int            // syncs that began before the latest crash are dropped
 }
 
 // NewDisk returns an empty disk. Storage is the identity of its data folder.
@@ -43,7 +45,7 @@
 // DropPending discards the writes that are not synced.
 func (d *Disk) DropPending() {
 	d.crashCount++
-	d.pendingSyncs = 0
+	d.pendingSyncs, d.waiting = 0, nil
 }
 
 // apply makes a synced disk effect part of the content.
@@ -74,13 +76,45 @@
 			return
 		}
 		d.pendingSyncs--
-		if d.Failing || d.Full {
+		switch {
+		case d.Failing:
 			sim.Post(n, notch.PersistFailed{Reason: "sync failed"})
-			return
+		case d.Full || len(d.waiting) > 0:
+			sim.delaySync(n, f)
+		default:
+			d.apply(f)
+			sim.finishSync(n, f)
 		}
+	})
+}
+
+// syncRetryPeriod is the interval in which syncs are repeated on a full disk, the same as in the
+// engine.
+const syncRetryPeriod = 200 * time.Millisecond
+
+// delaySync lets a sync wait until the disk has room.
+func (sim *Simulator) delaySync(n *Node, f notch.Effect) {
+	n.Disk.waiting = append(n.Disk.waiting, f)
+	if len(n.Disk.waiting) == 1 {
+		sim.Post(n, notch.JournalFailing{Reason: "disk full", Waiting: 1})
+		sim.afterUnlessKilled(n, syncRetryPeriod, func() { sim.repeatSyncs(n) })
+	}
+}
+
+// repeatSyncs carries out the waiting syncs if the disk has room.
+func (sim *Simulator) repeatSyncs(n *Node) {
+	d := n.Disk
+	if d.Full {
+		sim.afterUnlessKilled(n, syncRetryPeriod, func() { sim.repeatSyncs(n) })
+		return
+	}
+	waiting := d.waiting
+	d.waiting = nil
+	sim.Post(n, notch.JournalRecovered{})
+	for _, f := range waiting {
 		d.apply(f)
 		sim.finishSync(n, f)
-	})
+	}
 }
 
 // finishSync sends the messages that wait for a sync, and reports the sync to the
--- a/engine/journaler.go
+++ b/engine/journaler.go
@@ -2,24 +2,38 @@
 
 import (
 	"slices"
+	"time"
+
+	"github.com/pkg/errors"
 
 	notch "tamaracknotch"
 )
 
+// journalRetryInterval is the time after which a write that failed is repeated.
+const journalRetryInterval = 200 * time.Millisecond
+
 // journaler is the goroutine that writes to the journal. Records that arrive during
-// a sync are written together by the next sync.
+// a sync are written together by the next sync. A write that fails is repeated until it
+// succeeds, and what arrives meanwhile waits.
 type journaler struct {
+	journal notch.Journal
+	post    func(notch.Body)
+	send    func(notch.Send)
 	effects *mailbox[notch.Effect]
+	closing chan struct{}
 	done    chan struct{}
 }
 
 func newJournaler(j notch.Journal, clock notch.Clock, post func(notch.Body), send func(notch.Send)) *journaler {
-	w := &journaler{effects: newMailbox[notch.Effect](clock), done: make(chan struct{})}
+	w := &journaler{
+		journal: j, post: post, send: send,
+		effects: newMailbox[notch.Effect](clock), closing: make(chan struct{}), done: make(chan struct{}),
+	}
 	go func() {
 		defer close(w.done)
 		for range w.effects.ready {
 			b := w.effects.take()
-			if err := syncBatch(j, b.items, post, send); err != nil {
+			if err := w.writeAll(b.items); err != nil {
 				post(notch.PersistFailed{Reason: err.Error()})
 				return
 			}
@@ -33,46 +47,83 @@
 
 func (w *journaler) put(f notch.Effect) { w.effects.put(f) }
 
+// close stops the journaler after it has written the queued effects, or at once if the journal
+// is failing.
 func (w *journaler) close() {
 	w.effects.close()
+	close(w.closing)
 	<-w.done
 }
 
-// syncBatch syncs consecutive records together and each snapshot by itself, in
-// order.
-func syncBatch(j notch.Journal, batch []notch.Effect, post func(notch.Body), send func(notch.Send)) error {
-	var records []notch.Persist
-	flush := func() error {
-		if len(records) == 0 {
-			return nil
-		}
-		if err := j.Append(records); err != nil {
+// writeAll writes effects in order and acknowledges each.
+func (w *journaler) writeAll(effects []notch.Effect) error {
+	for len(effects) > 0 {
+		next := w.nextWrite(effects)
+		if err := w.repeat(next.write, len(effects)); err != nil {
 			return err
 		}
-		acknowledge(records, post, send)
-		records = nil
-		return nil
+		next.acknowledge()
+		effects = effects[next.effects:]
 	}
-	for _, f := range batch {
-		switch f := f.(type) {
-		case notch.Persist:
-			records = append(records, f)
-		case notch.SetCluster:
-			if err := j.SetCluster(f.Cluster); err != nil {
-				return err
-			}
-		case notch.SaveSnapshot:
-			if err := flush(); err != nil {
-				return err
-			}
-			if err := j.SaveSnapshot(f); err != nil {
-				return err
-			}
-			sendAll(f.Then, send)
-			post(notch.SnapshotSaved{Index: f.Snapshot.Index})
+	return nil
+}
+
+// journalWrite is one write to the journal.
+type journalWrite struct {
+	effects     int // number of effects that it carries out
+	write       func() error
+	acknowledge func()
+}
+
+// nextWrite returns the write for the first of the effects, or for all records before another kind
+// of effect.
+func (w *journaler) nextWrite(effects []notch.Effect) journalWrite {
+	switch f := effects[0].(type) {
+	case notch.SetCluster:
+		return journalWrite{1, func() error { return w.journal.SetCluster(f.Cluster) }, func() {}}
+	case notch.SaveSnapshot:
+		return journalWrite{1, func() error { return w.journal.SaveSnapshot(f) }, func() {
+			sendAll(f.Then, w.send)
+			w.post(notch.SnapshotSaved{Index: f.Snapshot.Index})
+		}}
+	}
+	records := leadingRecords(effects)
+	return journalWrite{len(records), func() error { return w.journal.Append(records) }, func() { acknowledge(records, w.post, w.send) }}
+}
+
+// leadingRecords returns the records before the first effect of another kind.
+func leadingRecords(effects []notch.Effect) []notch.Persist {
+	var out []notch.Persist
+	for _, f := range effects {
+		r, ok := f.(notch.Persist)
+		if !ok {
+			break
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// repeat calls write until it succeeds. It returns an error if the journal is damaged, or if the
+// journaler is closed before a write succeeds.
+func (w *journaler) repeat(write func() error, waiting int) error {
+	err := write()
+	if err == nil || errors.Is(err, notch.ErrCorrupt) {
+		return err
+	}
+	w.post(notch.JournalFailing{Reason: err.Error(), Waiting: waiting})
+	for err != nil && !errors.Is(err, notch.ErrCorrupt) {
+		select {
+		case <-time.After(journalRetryInterval):
+			err = write()
+		case <-w.closing:
+			return err
 		}
 	}
-	return flush()
+	if err == nil {
+		w.post(notch.JournalRecovered{})
+	}
+	return err
 }
 
 // acknowledge sends the messages that waited for the sync of the records, and posts
--- a/engine/journaler_test.go
+++ b/engine/journaler_test.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"errors"
+	"math"
 	"testing"
 
 	notch "tamaracknotch"
@@ -19,3 +21,47 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// fullJournal is a journal whose first writes fail.
+type fullJournal struct {
+	notch.Journal
+	failures int
+	appends  [][]notch.Persist // those that succeeded
+}
+
+func (j *fullJournal) Append(records []notch.Persist) error {
+	if j.failures > 0 {
+		j.failures--
+		return errors.New("no space left")
+	}
+	j.appends = append(j.appends, records)
+	return nil
+}
+
+// Guards against a journaler that ends with the first write that fails.
+func TestFailedWriteIsRepeated(t *testing.T) {
+	j := &fullJournal{failures: 2}
+	posted := make(chan notch.Body, 10)
+	w := newJournaler(j, &fixedClock{}, func(b notch.Body) { posted <- b }, func(notch.Send) {})
+	w.put(notch.Persist{Entries: []notch.LogEntry{{Index: 2, Term: 1}}})
+	for _, want := range []notch.Body{
+		notch.JournalFailing{Reason: "no space left", Waiting: 1}, notch.JournalRecovered{}, notch.Persisted{Term: 1, Index: 2},
+	} {
+		if got := <-posted; got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+	w.close()
+	if got, want := len(j.appends), 1; got != want {
+		t.Errorf("got %d appends, want %d", got, want)
+	}
+}
+
+// Guards against a process that can't be stopped while its disk is full.
+func TestJournalerClosesWhileWritesFail(t *testing.T) {
+	posted := make(chan notch.Body, 10)
+	w := newJournaler(&fullJournal{failures: math.MaxInt}, &fixedClock{}, func(b notch.Body) { posted <- b }, func(notch.Send) {})
+	w.put(notch.Persist{})
+	<-posted
+	w.close()
+}
--- a/event.go
+++ b/event.go
@@ -52,10 +52,19 @@
 	Index uint64
 }
 
-// PersistFailed reports that the journal returned an error. Nothing more can be
-// synced.
+// PersistFailed reports that the journal is damaged. Nothing more can be synced.
 type PersistFailed struct{ Reason string }
 
+// JournalFailing reports that a write to the journal failed. The write is repeated until
+// it succeeds, and nothing is synced before that.
+type JournalFailing struct {
+	Reason  string
+	Waiting int // records that the journal was given and hasn't synced
+}
+
+// JournalRecovered reports that the write succeeded for which the journal was failing.
+type JournalRecovered struct{}
+
 // SnapshotSaved reports that the snapshot at Index is synced.
 type SnapshotSaved struct{ Index uint64 }
 
@@ -274,6 +283,8 @@
 func (Recovered) body()          {}
 func (Persisted) body()          {}
 func (PersistFailed) body()      {}
+func (JournalFailing) body()     {}
+func (JournalRecovered) body()   {}
 func (SnapshotSaved) body()      {}
 func (ShutdownStarted) body()    {}
 func (CommandSubmitted) body()   {}
--- a/fake/random_test.go
+++ b/fake/random_test.go
@@ -97,7 +97,7 @@
 	all := c.Nodes()
 	n := all[c.Rand.IntN(len(all))]
 	other := all[c.Rand.IntN(len(all))]
-	switch c.Rand.IntN(12) {
+	switch c.Rand.IntN(14) {
 	case 0, 1:
 		if n.Up {
 			c.Kill(n)
@@ -128,6 +128,10 @@
 		if n.Up && n.Disk != nil {
 			n.Disk.Failing = true
 		}
+	case 12, 13:
+		if n.Disk != nil {
+			n.Disk.Full = !n.Disk.Full
+		}
 	}
 }
 
@@ -140,7 +144,7 @@
 	}
 	for _, n := range c.replicas {
 		p, _ := c.Consensus(n)
-		if !n.Up || n.Disk.Failing || len(p.ReplicaSet().Voters) != 3 || len(p.ReplicaSet().Learners) != 0 || p.CommitIndex() < c.highestCommit() {
+		if !n.Up || n.Disk.Failing || n.Disk.Full || len(p.ReplicaSet().Voters) != 3 || len(p.ReplicaSet().Learners) != 0 || p.CommitIndex() < c.highestCommit() {
 			return
 		}
 		for _, v := range p.ReplicaSet().Voters {
@@ -192,6 +196,9 @@
 	c.Heal()
 	c.Net.Loss, c.Net.Duplicates = 0, 0
 	for _, n := range c.Nodes() {
+		if n.Disk != nil {
+			n.Disk.Full = false
+		}
 		if n.Up && n.Disk != nil && n.Disk.Failing {
 			c.Kill(n)
 		}
--- a/priority.go
+++ b/priority.go
@@ -18,7 +18,7 @@
 // state of the journal have the same one, because their order matters.
 func PriorityOf(b Body) Priority {
 	switch b := b.(type) {
-	case Recovered, Persisted, PersistFailed, SnapshotSaved:
+	case Recovered, Persisted, PersistFailed, JournalFailing, JournalRecovered, SnapshotSaved:
 		return HighPriority
 	case MessageReceived:
 		return priorityOfMessage(b.Message)
