Servers go on after an error of accept

A server whose accept fails with an error that isn't temporary, for example for a lack of kernel memory, ended for good while the process went on: callers, links or readiness checks reached nobody until a restart. The listener now reports all errors but its own end as temporary, and the HTTP server accepts again after its usual pause.

--- a/front/serve.go
+++ b/front/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -16,13 +17,36 @@
 // Server serves one listener.
 type Server struct{ http *http.Server }
 
-// Serve starts to serve l in its own goroutine.
+// Serve starts to serve l in its own goroutine, until the server is closed.
 func Serve(l net.Listener, h http.Handler) Server {
 	s := Server{http: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}}
-	go func() { s.http.Serve(l) }()
+	go func() { s.http.Serve(lastingListener{l}) }()
 	return s
 }
 
+// lastingListener is a listener whose errors are temporary unless it is closed. The HTTP server
+// accepts again after a pause that it doubles up to a second; after any other error, such as a lack
+// of kernel memory, it would end while the process goes on.
+type lastingListener struct{ net.Listener }
+
+// Accept implements [net.Listener].
+func (l lastingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		err = temporaryError{err}
+	}
+	return conn, err
+}
+
+// temporaryError implements [net.Error].
+type temporaryError struct{ error }
+
+// Timeout implements [net.Error].
+func (temporaryError) Timeout() bool { return false }
+
+// Temporary implements [net.Error].
+func (temporaryError) Temporary() bool { return true }
+
 // Shutdown implements notch.Server.
 func (s Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
