A restarted leader doesn't remove voters while it applies its log

A replica that is elected after its restart applies its log again, and with it earlier revisions of the pool control. At the first one that lacked a voter it removed that voter, and added it again as a learner once it had applied the rest. With one disk full at that moment the smaller set had no quorum, and no change was answered. Only sets that the pool lists are concerned, not those of a given size.

A leader now changes the set only when the entries of earlier terms are applied. The script failed before:

testdata/script/restarted-leader.txtar:16: a daemon has logged "7.637520465s a: changes the replica set"

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -77,7 +77,8 @@
 	configs        []configAt // in ascending order; the last one is in force
 	persistedIndex uint64     // last entry synced on this replica
 	commitIndex    uint64
-	appliedIndex   uint64
+	appliedIndex   uint64     // last entry passed to the other parts
+	reducedIndex   uint64     // last entry that the parts have begun to apply
 	failed         bool       // the journal is damaged; the replica ignores all events until it restarts
 	failingSince   notch.Time // when the journal began to fail; zero: it works
 
@@ -199,6 +200,8 @@
 	case notch.SnapshotSaved:
 		s.persistedIndex = max(s.persistedIndex, b.Index)
 		s.log = s.log.withoutPrefix(s.keepFrom(b.Index))
+	case notch.Committed:
+		s.onCommitted(b.Entry.Index)
 	case notch.TablesCommitted:
 		s.onTablesCommitted(b.Tables)
 	case notch.ReplicaLinked:
--- a/consensus/replicas.go
+++ b/consensus/replicas.go
@@ -49,6 +49,14 @@
 	s.reconcileMembership()
 }
 
+// onCommitted records that the parts apply the entry at index.
+func (s *stepper) onCommitted(index uint64) {
+	s.reducedIndex = index
+	if index == s.commitIndex {
+		s.reconcileMembership()
+	}
+}
+
 func (s *stepper) onReplicaLinked(r notch.Replica) {
 	linked := slices.DeleteFunc(slices.Clone(s.linkedReplicas), func(o notch.Replica) bool { return o.Name == r.Name })
 	s.linkedReplicas = append(linked, r)
@@ -56,9 +64,10 @@
 }
 
 // reconcileMembership appends the next membership change towards the desired replica set.
-// It does nothing until the previous change is committed.
+// It does nothing until the previous change is committed, nor while the entries of earlier terms are
+// being applied: these pass through earlier revisions of the pool control.
 func (s *stepper) reconcileMembership() {
-	if s.role != roleLeader || s.readyAt == 0 || s.stopping || len(s.configs) == 0 || (len(s.desiredVoters) == 0 && s.targetVoters == 0) {
+	if s.role != roleLeader || s.readyAt == 0 || s.reducedIndex < s.termStartIndex || s.stopping || len(s.configs) == 0 || (len(s.desiredVoters) == 0 && s.targetVoters == 0) {
 		return
 	}
 	if s.configs[len(s.configs)-1].index > s.commitIndex {
