A handover succeeds under load

The leader went on to send commands to the others after it had asked one to take over. That one lacked them, so the others rejected it until an election timeout had passed. A graceful stop appends nothing after it begins, but may ask a successor that lacks entries.

Like one that stops, it asks the successor to campaign once that has confirmed the whole log.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -103,6 +103,9 @@
 	stopping        bool            // a graceful shutdown was requested
 	tablesRevision  uint64          // of the tables after the entries up to appliedIndex
 
+	successor notch.Replica    // the replica that was asked last to take over
+	held      []notch.Proposal // proposals that arrived while the journal is failing; never modified in place
+
 	unflushed          bool   // entries were appended since the last flush
 	sentToJournalIndex uint64 // last index handed to the journal as leader
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -28,6 +28,7 @@
 	s.role = roleFollower
 	s.votes = nil
 	s.progress = nil
+	s.held, s.successor = nil, notch.Replica{}
 	s.transferTarget = false
 	s.resetElection()
 	s.setLeader(leader)
@@ -194,8 +195,8 @@
 	s.emit(l)
 }
 
-// transferLeadership asks the voter with the highest match index, of those that answer, to campaign
-// at once.
+// transferLeadership chooses the voter with the highest match index, of those that answer, as the
+// successor, and asks it to campaign.
 func (s *stepper) transferLeadership() {
 	if s.role != roleLeader {
 		return
@@ -209,11 +210,24 @@
 	if best < 0 {
 		return
 	}
+	s.successor = s.progress[best].replica
 	s.sendAppend(best)
-	s.send(s.progress[best].replica.Name, notch.TimeoutNow{Term: s.hardState.Term})
+	s.askSuccessor(s.progress[best])
 }
 
 // mayTakeOver reports whether a replica is another voter that answers the leader.
 func (s *stepper) mayTakeOver(pr progress) bool {
 	return pr.voter && pr.replica != s.self && s.silentFor(pr.replica) < s.timing.ElectionTimeout
 }
+
+// askSuccessor asks the successor to campaign at once. A leader that appends nothing more waits until
+// the successor has the whole log, as voters with more entries would reject it.
+func (s *stepper) askSuccessor(pr progress) {
+	if pr.replica != s.successor || s.handsOver() && pr.match < s.log.lastIndex() {
+		return
+	}
+	s.send(pr.replica.Name, notch.TimeoutNow{Term: s.hardState.Term})
+}
+
+// handsOver reports whether the replica must not lead any longer, and appends nothing.
+func (s *stepper) handsOver() bool { return s.stopping || s.journalFailing() }
--- a/consensus/failing.go
+++ b/consensus/failing.go
@@ -1,18 +1,21 @@
 package consensus
 
-import notch "tamaracknotch"
+import (
+	"slices"
+
+	notch "tamaracknotch"
+)
 
 // A replica whose journal is failing, for example because its disk is full, can acknowledge nothing.
-// A leader hands over at once. A follower doesn't campaign, grants no votes and takes no entries, so
+// A leader hands over at once, and commits what it has sent if the others sync it. A follower doesn't campaign, grants no votes and takes no entries, so
 // that what waits for the journal stays small. It answers nothing to the leader, for which it is away
 // until the journal works again.
 
 // metricJournalFailing is 1 while the journal is failing.
 const metricJournalFailing = "journal-failing"
 
-// maxUnsyncedEntries is the number of entries that a leader keeps for a failing journal. It goes on
-// as long as the others sync its entries and none of them takes over.
-const maxUnsyncedEntries = 4096
+// maxHeldProposals is the number of proposals that a leader whose journal is failing keeps.
+const maxHeldProposals = 1024
 
 func (p *Part) journalFailing() bool { return p.failingSince != 0 }
 
@@ -33,6 +36,12 @@
 	s.failingSince = 0
 	if s.role != roleLeader {
 		s.resetElection()
+		return
+	}
+	held := s.held
+	s.held = nil
+	for _, b := range held {
+		s.propose(b)
 	}
 }
 
@@ -59,7 +68,10 @@
 	return true
 }
 
-// hasManyUnsynced reports whether the journal is failing and can be given no further entries.
-func (s *stepper) hasManyUnsynced() bool {
-	return s.journalFailing() && s.log.lastIndex() >= s.persistedIndex+maxUnsyncedEntries
+// hold keeps a proposal until the journal works again, if the replica then still leads. If it were
+// appended, voters that have the entry would reject the replica that is to take over.
+func (s *stepper) hold(b notch.Proposal) {
+	if len(s.held) < maxHeldProposals {
+		s.held = append(slices.Clip(s.held), b)
+	}
 }
--- a/consensus/replicas.go
+++ b/consensus/replicas.go
@@ -67,7 +67,7 @@
 // It does nothing until the previous change is committed, nor while the entries of earlier terms are
 // being applied: these pass through earlier revisions of the pool control.
 func (s *stepper) reconcileMembership() {
-	if s.role != roleLeader || s.readyAt == 0 || s.reducedIndex < s.termStartIndex || s.stopping || len(s.configs) == 0 || (len(s.desiredVoters) == 0 && s.targetVoters == 0) {
+	if s.role != roleLeader || s.readyAt == 0 || s.reducedIndex < s.termStartIndex || s.handsOver() || len(s.configs) == 0 || (len(s.desiredVoters) == 0 && s.targetVoters == 0) {
 		return
 	}
 	if s.configs[len(s.configs)-1].index > s.commitIndex {
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -9,12 +9,17 @@
 // propose appends a command, unless the log holds it already: the daemon that waits for the result
 // sends it again while it isn't applied yet.
 func (s *stepper) propose(b notch.Proposal) {
-	if s.role == roleLeader && !s.stopping && s.hasEnoughVoters() && !s.hasManyUnsynced() && !s.isPending(b) {
-		s.appendCommand(b)
+	if s.role != roleLeader || s.stopping || !s.hasEnoughVoters() || s.isPending(b) {
+		return
+	}
+	if s.journalFailing() {
+		s.hold(b)
+		return
 	}
+	s.appendCommand(b)
 }
 
-// isPending reports whether the command of the same call is in the log and not yet applied.
+// isPending reports whether the command of the same call is held, or in the log and not yet applied.
 func (s *stepper) isPending(b notch.Proposal) bool {
 	if b.Origin == "" {
 		return false
@@ -24,7 +29,7 @@
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(s.held, func(h notch.Proposal) bool { return h.Ticket == b.Ticket && h.Origin == b.Origin })
 }
 
 func (s *stepper) appendCommand(b notch.Proposal) {
@@ -190,7 +195,7 @@
 		s.updateQuorumContact()
 	}
 	s.reconcileMembership()
-	if s.stopping || s.journalFailing() {
+	if s.handsOver() {
 		s.transferLeadership()
 	}
 }
@@ -223,9 +228,15 @@
 	s.updateQuorumContact()
 	s.advanceCommit()
 	// The commit may have changed the replica set.
-	if i = s.progressIndex(m.From); i >= 0 && s.progress[i].mayAppend() && s.progress[i].next <= s.log.lastIndex() {
+	if i = s.progressIndex(m.From); i < 0 {
+		return
+	}
+	if s.progress[i].mayAppend() && s.progress[i].next <= s.log.lastIndex() {
 		s.sendAppend(i)
 	}
+	if s.handsOver() {
+		s.askSuccessor(s.progress[i])
+	}
 }
 
 // onAppendRejected sends a probe from the index where the follower's log may match. It
