gateway: count the calls that end without an answer

A query of a job's state that ends at its deadline left neither a log line nor a count, so a record couldn't tell a leader that doesn't answer from one that isn't known, nor either from an entry without a lease. Submissions and cancels have a line each; queries are most of the calls.

Two counters: calls-unanswered for those that were sent to a leader, calls-without-leader for those that never were.

The test failed before:

FAIL: testdata/step/unanswered-calls.txtar:9: no match for `^Count\{Name:calls-without-leader Delta:1\}` found in stdout

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,12 @@
 	maxResendInterval = 1600 * time.Millisecond
 )
 
+// Counters of the calls that ended at their deadline.
+const (
+	metricUnanswered    = "calls-unanswered"     // by a leader to which they were sent
+	metricWithoutLeader = "calls-without-leader" // no leader was known until then
+)
+
 // call is a command, query or worker heartbeat that waits for its result.
 type call struct {
 	body     notch.Body // CommandSubmitted, HeartbeatSubmitted or QuerySubmitted
@@ -188,11 +194,19 @@
 			continue
 		}
 		p.calls = p.calls.Delete(ticket)
-		out = append(out, timeoutAnswer(ticket, c))
+		out = append(out, timeoutAnswer(ticket, c), notch.Count{Name: timeoutMetric(c), Delta: 1})
 	}
 	return p, out
 }
 
+// timeoutMetric returns the name of the counter for a call whose deadline has passed.
+func timeoutMetric(c call) string {
+	if c.sent {
+		return metricUnanswered
+	}
+	return metricWithoutLeader
+}
+
 // timeoutAnswer returns the effect that ends a call whose deadline has passed.
 func timeoutAnswer(ticket uint64, c call) notch.Effect {
 	switch c.body.(type) {
--- a/script/step.go
+++ b/script/step.go
@@ -85,7 +85,7 @@
 	notch.CancelJobs{}, notch.RegisterWorker{}, notch.PlaceTasks{}, notch.ReportTasks{}, notch.ReleaseWorker{},
 	notch.StopTasks{}, notch.QuarantineWorker{}, notch.ChangeReplicas{}, notch.Proposal{},
 	notch.ReplaceTables{}, notch.SubmitWorkflow{}, notch.CancelWorkflow{}, notch.AdmitAgent{}, notch.PlaceRuns{}, notch.EndRuns{},
-	notch.AgentAnnounced{}, notch.AgentAnswered{}, notch.QueryReceived{}, notch.CommandSubmitted{},
+	notch.AgentAnnounced{}, notch.AgentAnswered{}, notch.QueryReceived{}, notch.CommandSubmitted{}, notch.QuerySubmitted{}, notch.QueryReply{},
 	notch.Applied{}, notch.Forward{}, notch.InstallSnapshot{}, notch.SnapshotSaved{},
 )
 
