Tests: callers are answered after a loss of all power under load

No test had one: TestLeaderOutlastsBurst has the load and no loss, the scripts that wipe a disk have little load or lose one replica.

Queries at the end of a load test go to all entries in turn, not to the first one only, and an answer to an earlier query doesn't count.

--- a/fake/agentload_test.go
+++ b/fake/agentload_test.go
@@ -16,16 +16,17 @@
 // agentLoad describes a pool of agents, the workflows that callers submit, and what the callers
 // may expect. Counts and rates are means.
 type agentLoad struct {
-	Replicas int
-	Entries  int
-	Cores    float64 // share of a core that each daemon has
-	Agents   agentPool
-	Swing    float64       // of all rates, as a fraction of their mean
-	Period   time.Duration // of the swing
-	Length   time.Duration // of the load
-	Burst    loadBurst
-	Bounds   loadBounds
-	Routes   []routeLoad
+	Replicas  int
+	Entries   int
+	Cores     float64 // share of a core that each daemon has
+	Agents    agentPool
+	Swing     float64       // of all rates, as a fraction of their mean
+	Period    time.Duration // of the swing
+	Length    time.Duration // of the load
+	Burst     loadBurst
+	PowerLoss powerLoss `yaml:"power-loss"` // left out: the power isn't lost
+	Bounds    loadBounds
+	Routes    []routeLoad
 }
 
 type agentPool struct {
@@ -88,6 +89,7 @@
 type loadTest struct {
 	*Testbed
 	load      agentLoad
+	replicas  []*drive.Node
 	entries   []*drive.Node
 	startedAt time.Duration // of the load
 	workflows []*loadWorkflow
@@ -103,7 +105,7 @@
 	answeredAt  time.Duration
 	result      notch.WorkflowResult
 	completedAt time.Duration
-	state       notch.WorkflowState // at the end of the test; empty: not known
+	state       notch.WorkflowState // as queried last; empty: not known
 }
 
 // The pool and the timeouts of a load's callers.
@@ -126,7 +128,7 @@
 	l.Policies.Replicas = load.Replicas
 	limitProcessors(l.Testbed, load.Cores)
 	for i := range load.Replicas {
-		l.AddDaemon(fmt.Sprintf("replica-%d", i), fmt.Sprintf("domain-%d", i), true, i == 0)
+		l.replicas = append(l.replicas, l.AddDaemon(fmt.Sprintf("replica-%d", i), fmt.Sprintf("domain-%d", i), true, i == 0))
 	}
 	for i := range load.Entries {
 		l.entries = append(l.entries, l.AddDaemon(fmt.Sprintf("entry-%d", i), fmt.Sprintf("domain-%d", i), false, false))
--- a/fake/burst_test.go
+++ b/fake/burst_test.go
@@ -29,7 +29,7 @@
 	l.runFor(l.load.Length - burstEnd)
 	afterLoad := l.term()
 	l.runFor(l.load.Bounds.Finish)
-	l.queryWorkflows()
+	l.queryWorkflows(l.load.Bounds.Answer)
 	if last := l.term(); last != first || l.leaders() != 1 {
 		t.Errorf("seed %d: terms: got %d at the start, %d after the burst, %d after the load, %d at the end with %d leaders; want one leader in one term",
 			*firstSeed, first, afterBurst, afterLoad, last, l.leaders())
@@ -75,14 +75,25 @@
 	}
 }
 
-// queryWorkflows asks for the state of every accepted workflow.
-func (l *loadTest) queryWorkflows() {
+// queryWorkflows asks the entries in turn for the state of every accepted workflow, and waits for the
+// answers.
+func (l *loadTest) queryWorkflows(wait time.Duration) {
+	for i, w := range l.accepted() {
+		w.state = ""
+		l.QueryWorkflow(l.entries[i%len(l.entries)], w.ID, func(state notch.WorkflowState) { w.state = state })
+	}
+	l.runFor(wait)
+}
+
+// accepted returns the workflows whose submission was accepted.
+func (l *loadTest) accepted() []*loadWorkflow {
+	var out []*loadWorkflow
 	for _, w := range l.workflows {
 		if w.result.Outcome == notch.WorkflowAccepted {
-			l.QueryWorkflow(l.entries[0], w.ID, func(state notch.WorkflowState) { w.state = state })
+			out = append(out, w)
 		}
 	}
-	l.Run(l.load.Bounds.Answer)
+	return out
 }
 
 // term returns the latest term of the replicas.
