Stand-in: count the end of a run of a killed agent once

KillAgent on an agent that was down already ended the same runs again, so the checker counted fewer runs in progress than there were: it could miss that a task runs twice (TWICE), and took a running task for one that is away. The stand-in now forgets the runs of an agent that it killed, which makes the check stricter. 400 seeds of TestRandomWorkflows pass with it.

--- a/fake/agent.go
+++ b/fake/agent.go
@@ -80,6 +80,7 @@
 	for ref := range a.runs {
 		s.workflowChecker.runEnded(ref, false)
 	}
+	a.runs = nil
 }
 
 // agentClock returns the reading of the agent's clock in ms since its start.
