Short polls while a run is missing in its agent's list

Callers saw tasks whose start got no answer come back only after some 5 s: too late for a short task, and close to the 6 s for which a long-running task may be away (LOST, SHORT).

Cause: the start times out after 1 s, the next list has to be requested after that, the stop follows, and a third list has to be requested after its confirmation. An agent on which no run ends delays each list by 1 s.

While a run is missing in an agent's list and may still be live or start, the agent is now asked to delay its next list by 100 ms at most. The decision itself is unchanged. It costs some ten more lists for each start that isn't answered.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -43,7 +43,8 @@
 	ends, upTo := s.newEnds(session, b.Answer.Ends)
 	s.logLapsedRuns(session, ends, b.Answer.Clock)
 	session.unanswered, session.lastAnsweredAt = 0, s.now
-	ends = append(ends, s.endsOfMissingRuns(session, a, b)...)
+	endsOfMissing, missing := s.endsOfMissingRuns(session, a, b)
+	ends, session.missesRuns = append(ends, endsOfMissing...), missing
 	for _, l := range b.Answer.Live {
 		s.checkLiveRun(session, a, l)
 	}
@@ -163,12 +164,12 @@
 
 // endsOfMissingRuns returns the ends of runs that an agent doesn't list although it would if
 // they were live or could still start. It orders the stop of a missing run whose start got no
-// answer: once the stop is confirmed, the run can't start any more.
-func (s *stepper) endsOfMissingRuns(session agentSession, a notch.Agent, b notch.AgentAnswered) []notch.RunEnd {
+// answer: once the stop is confirmed, the run can't start any more. Undecided is true if a missing
+// run may still be live or start.
+func (s *stepper) endsOfMissingRuns(session agentSession, a notch.Agent, b notch.AgentAnswered) (out []notch.RunEnd, undecided bool) {
 	if b.Answer.Partial {
-		return nil
+		return nil, false
 	}
-	var out []notch.RunEnd
 	load, _ := s.loads.Get(a.ID)
 	for _, run := range load.runs {
 		ref := run.ref
@@ -179,12 +180,15 @@
 		if !ok {
 			continue
 		}
-		if kind, ended := s.decideMissingRun(session, a, ref, r, b.SentAt); ended {
-			out = append(out, notch.RunEnd{Run: ref, Kind: kind})
-			s.logMessage("run given up: its agent doesn't list it", runFields(ref, a.ID, string(kind))...)
+		kind, ended := s.decideMissingRun(session, a, ref, r, b.SentAt)
+		if !ended {
+			undecided = true
+			continue
 		}
+		out = append(out, notch.RunEnd{Run: ref, Kind: kind})
+		s.logMessage("run given up: its agent doesn't list it", runFields(ref, a.ID, string(kind))...)
 	}
-	return out
+	return out, undecided
 }
 
 // isListed reports whether an answer lists a run, live or ended. Both lists are short.
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -23,7 +23,7 @@
 		o.Ack = session.committedUpTo
 	}
 	if session.lastAnsweredAt != 0 && session.unanswered == 0 && session.proposedUpTo == session.committedUpTo {
-		o.Wait = s.longPoll(id)
+		o.Wait = s.longPoll(id, session)
 	}
 	session.lease = session.lease.WithGrant(o.Deadline)
 	session.renewalSentAt = s.now
@@ -31,8 +31,15 @@
 	s.sendOrder(a, o)
 }
 
+// missingRunPoll is how long an agent may delay its answer while one of its runs is missing. Whether
+// the run may start elsewhere takes up to three lists.
+const missingRunPoll = 100 * time.Millisecond
+
 // longPoll returns how long an agent may delay its answer while no run ends.
-func (s *stepper) longPoll(id string) time.Duration {
+func (s *stepper) longPoll(id string, session agentSession) time.Duration {
+	if session.missesRuns {
+		return missingRunPoll
+	}
 	if colocated, ok := s.colocations.Get(id); ok && colocated.bothKinds {
 		return s.timing.ColocatedLongPoll
 	}
--- a/flow/session.go
+++ b/flow/session.go
@@ -19,6 +19,7 @@
 	lastAnsweredAt   notch.Time // when the latest lease renewal was answered; zero: none was
 	nextRenewalAt    notch.Time // no lease renewal is sent before then
 	unanswered       int        // successive lease renewals that brought no lists of runs and ends
+	missesRuns       bool       // the latest lists lacked a run that may still be live or start
 	proposedUpTo     uint64     // ends up to this position were proposed
 	committedUpTo    uint64     // ends up to this position are committed
 	noRunsBefore     notch.Time // no new runs are placed before then
