A run whose start is confirmed can't start on the agent's next incarnation

Callers would see a task stay away for 25 s (LOST for one that lasts) when the agent of its run restarts, announces itself, and is lost for good before it answers an order.

Cause: an order that was sent to one incarnation may be carried out by the next, so a run of the earlier incarnation is given up only once the present one has answered, or after 25 s. That holds for starts that are still on their way. A start that the earlier incarnation confirmed, or whose run it listed, has been carried out, and ended with that incarnation.

The leader now gives up such a run once a renewal of the present incarnation isn't answered. A run that an agent lists counts as confirmed, also if its start got no answer.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -224,7 +224,7 @@
 }
 
 // checkLiveRun stops a run that an agent lists as live if the run isn't known or isn't wanted
-// any more.
+// any more. Otherwise it records that the run has started.
 func (s *stepper) checkLiveRun(session agentSession, a notch.Agent, l notch.LiveRun) {
 	w, ok := s.workflows.Get(l.Run.Task.Flow)
 	if !ok {
@@ -235,7 +235,19 @@
 	r, ok := t.Run(l.Run.Number)
 	if !ok || r.Life != session.incarnation || !w.MayRun(t) {
 		s.stopRun(a, l.Run)
+		return
+	}
+	s.confirmStart(l.Run)
+}
+
+// confirmStart records that a run has started, if no answer to the start has shown it.
+func (s *stepper) confirmStart(ref notch.RunRef) {
+	orders, _ := s.runOrders.Get(ref)
+	if orders.startOutcome == notch.AgentOK {
+		return
 	}
+	orders.startOutcome, orders.startAnsweredAt = notch.AgentOK, s.now
+	s.runOrders = s.runOrders.Set(ref, orders)
 }
 
 // endsCommitted acknowledges an agent's ends after they were committed.
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -59,10 +59,14 @@
 }
 
 // mayStillStart reports whether a run that was sent to an earlier incarnation may start in the
-// present one, which hasn't answered yet.
+// present one, which hasn't answered yet. A start is carried out once.
 func (s *stepper) mayStillStart(session agentSession, ref notch.RunRef) bool {
 	r, ok := s.run(ref)
-	return ok && r.Life != session.incarnation && session.lastAnsweredAt == 0 && s.now.Before(session.staleOrdersUntil)
+	if !ok || r.Life == session.incarnation || session.lastAnsweredAt != 0 {
+		return false
+	}
+	orders, _ := s.runOrders.Get(ref)
+	return orders.startOutcome != notch.AgentOK && s.now.Before(session.staleOrdersUntil)
 }
 
 // leaveGrace is how long an agent may take to end its runs after its leave message.
