--- a/flow/lists.go
+++ b/flow/lists.go
@@ -43,7 +43,8 @@
 	ends, upTo := s.newEnds(session, b.Answer.Ends)
 	s.logLapsedRuns(session, ends, b.Answer.Clock)
 	session.unanswered, session.lastAnsweredAt = 0, s.now
-	ends = append(ends, s.endsOfMissingRuns(session, a, b)...)
+	endsOfMissing, missing := s.endsOfMissingRuns(session, a, b)
+	ends, session.missesRuns = append(ends, endsOfMissing...), missing
 	for _, l := range b.Answer.Live {
 		s.checkLiveRun(session, a, l)
 	}
@@ -163,12 +164,12 @@
 
 // endsOfMissingRuns returns the ends of runs that an agent doesn't list although it would if
 // they were live or could still start. It orders the stop of a missing run whose start got no
-// answer: once the stop is confirmed, the run can't start any more.
-func (s *stepper) endsOfMissingRuns(session agentSession, a notch.Agent, b notch.AgentAnswered) []notch.RunEnd {
+// answer: once the stop is confirmed, the run can't start any more. Undecided is true if a missing
+// run may still be live or start.
+func (s *stepper) endsOfMissingRuns(session agentSession, a notch.Agent, b notch.AgentAnswered) (out []notch.RunEnd, undecided bool) {
 	if b.Answer.Partial {
-		return nil
+		return nil, false
 	}
-	var out []notch.RunEnd
 	load, _ := s.loads.Get(a.ID)
 	for _, run := range load.runs {
 		ref := run.ref
@@ -179,12 +180,15 @@
 		if !ok {
 			continue
 		}
-		if kind, ended := s.decideMissingRun(session, a, ref, r, b.SentAt); ended {
-			out = append(out, notch.RunEnd{Run: ref, Kind: kind})
-			s.logMessage("run given up: its agent doesn't list it", runFields(ref, a.ID, string(kind))...)
+		kind, ended := s.decideMissingRun(session, a, ref, r, b.SentAt)
+		if !ended {
+			undecided = true
+			continue
 		}
+		out = append(out, notch.RunEnd{Run: ref, Kind: kind})
+		s.logMessage("run given up: its agent doesn't list it", runFields(ref, a.ID, string(kind))...)
 	}
-	return out
+	return out, undecided
 }
 
 // isListed reports whether an answer lists a run, live or ended. Both lists are short.
@@ -213,14 +217,14 @@
 		return "", false
 	case orders.stopAnsweredAt != 0 && !requestedAt.Before(orders.stopAnsweredAt):
 		return notch.RunNotStarted, true
-	case !requestedAt.Before(orders.startAnsweredAt):
-		s.stopRun(a, ref)
+	case orders.stopAnsweredAt == 0 && !requestedAt.Before(orders.startAnsweredAt):
+		s.stopRun(a, ref) // one confirmed stop is enough; a later one would outdate every list that is requested
 	}
 	return "", false
 }
 
 // checkLiveRun stops a run that an agent lists as live if the run isn't known or isn't wanted
-// any more.
+// any more. Otherwise it records that the run has started.
 func (s *stepper) checkLiveRun(session agentSession, a notch.Agent, l notch.LiveRun) {
 	w, ok := s.workflows.Get(l.Run.Task.Flow)
 	if !ok {
@@ -231,7 +235,19 @@
 	r, ok := t.Run(l.Run.Number)
 	if !ok || r.Life != session.incarnation || !w.MayRun(t) {
 		s.stopRun(a, l.Run)
+		return
+	}
+	s.confirmStart(l.Run)
+}
+
+// confirmStart records that a run has started, if no answer to the start has shown it.
+func (s *stepper) confirmStart(ref notch.RunRef) {
+	orders, _ := s.runOrders.Get(ref)
+	if orders.startOutcome == notch.AgentOK {
+		return
 	}
+	orders.startOutcome, orders.startAnsweredAt = notch.AgentOK, s.now
+	s.runOrders = s.runOrders.Set(ref, orders)
 }
 
 // endsCommitted acknowledges an agent's ends after they were committed.
