Refuse jobs whose number of tasks overflows

The number of tasks was summed without regard to overflow, so that a job of 2^62 tasks in 4 rounds counted as a job of none and was accepted. Every replica that applied the entry then built its tasks until memory ran out, and again at each restart, as the entry is in the log. One caller could end all replicas for good with one request.

Evidence: POST of such a job to one daemon with a limit of 6 GB ends it with 'fatal error: out of memory' in graph.New.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -73,7 +73,6 @@
 	case w.Rounds < 0 || w.Every < 0:
 		return fmt.Sprintf("the number of rounds (%d) and their interval (%v) must not be negative", w.Rounds, w.Every)
 	}
-	tasks := 0
 	for i, st := range w.Stages {
 		if st.Count < 1 {
 			return fmt.Sprintf("stage %d has %d tasks, at least 1 is required", i, st.Count)
@@ -84,14 +83,26 @@
 		if slices.ContainsFunc(st.After, func(a int) bool { return a < 0 || a >= i }) {
 			return fmt.Sprintf("stage %d depends on a stage that doesn't come before it", i)
 		}
-		tasks += st.Count * w.RoundCount()
 	}
-	if tasks > MaxTasks {
-		return fmt.Sprintf("there are %d tasks, at most %d are allowed", tasks, MaxTasks)
+	if !hasTasksAtMost(w, MaxTasks) {
+		return fmt.Sprintf("there are more than %d tasks", MaxTasks)
 	}
 	return ""
 }
 
+// hasTasksAtMost reports whether a workflow has at most limit tasks over all rounds and stages. The
+// product of its counts may overflow.
+func hasTasksAtMost(w notch.Workflow, limit int) bool {
+	inRound := limit / w.RoundCount()
+	for _, st := range w.Stages {
+		if st.Count > inRound {
+			return false
+		}
+		inRound -= st.Count
+	}
+	return true
+}
+
 func (s *stepper) cancel(id string, at notch.Time) notch.WorkflowResult {
 	w, ok := s.workflows.Get(id)
 	if !ok {
