--- a/flow/orders.go
+++ b/flow/orders.go
@@ -103,6 +103,9 @@
 	if !s.leadership.Leading || b.Order.Token>>incarnationBits != s.leadership.Term {
 		return
 	}
+	if b.Answer.Reason == notch.ReasonMalformed {
+		s.logMessage("answer not understood", notch.TextField("agent", b.Life.Agent), notch.TextField("order", string(b.Order.Kind)))
+	}
 	session, ok := s.sessions.Get(b.Life.Agent)
 	if b.Answer.Kind == notch.AgentRefused && b.Answer.Reason == notch.ReasonFenced && b.Order.Token == session.token {
 		s.deposed(b)
--- a/workflow.go
+++ b/workflow.go
@@ -178,16 +178,18 @@
 	AgentNoAnswer         AgentAnswerKind = "silent"  // no answer: the order may have been carried out, or may still be
 )
 
-// AgentReason is the reason why an agent refused an order.
+// AgentReason is the reason why an agent refused an order, or why its answer counts as none.
 type AgentReason string
 
-// The reasons for a refusal by an agent.
+// The reasons for a refusal by an agent, and for an answer that counts as none.
 const (
 	ReasonFenced         AgentReason = "fence"  // the agent has seen a higher fencing token
 	ReasonStaleRun       AgentReason = "old"    // this run or a later run of the task was stopped or has ended on the agent
 	ReasonDeadlinePassed AgentReason = "late"   // the deadline of the order had passed
 	ReasonNoCapacity     AgentReason = "room"   // the run doesn't fit into the free resources
 	ReasonTicket         AgentReason = "ticket" // the agent doesn't accept the ticket of the order
+
+	ReasonMalformed AgentReason = "malformed" // the answer can't be decoded
 )
 
 // AgentAnswer is an agent's answer to an order.
