Refuse announcements whose numbers are out of range (own protocol)

A backend server that announced 2^63-1 slots stopped the leader for good: it divides slots one at a time, on the control thread, and every daemon that leads next has the announcement, too. Edits, heartbeats and leases went unanswered. Evidence: after the announcement ('status 204') notchctl get pools gives notchctl: Service Unavailable: outcome not known: resend with the same id and the daemon can't be stopped ('context deadline exceeded').

The slots of a backend server are limited like those of a row of the table pools. Port 0, amounts that overflow sums and seconds that overflow a duration are refused as well.

--- a/api/agents.go
+++ b/api/agents.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,14 @@
 	Leaving       bool   `json:"leaving,omitempty"`
 }
 
+// The limits of the numbers in documents. What is beyond them is a mistake of its writer: the time to
+// divide slots grows with their number, and sums over all workers must not overflow.
+const (
+	maxSlots   = 100_000       // of slots and of connections of one backend server
+	maxAmount  = 1 << 40       // of each resource of a worker, in its unit
+	maxSeconds = 1_000_000_000 // 31 years
+)
+
 // Value checks b and converts it.
 func (b BackendServer) Value() (notch.BackendServer, error) {
 	v := notch.BackendServer{
@@ -38,8 +47,11 @@
 	if err := CheckAddress(b.Address); err != nil {
 		return v, errors.Wrap(err, "address")
 	}
-	if b.Slots < 1 || b.Connections < b.Slots {
-		return v, errors.Errorf("slots is %d and must be at least 1; connections is %d and must be at least slots", b.Slots, b.Connections)
+	if strings.HasSuffix(b.Address, ":0") {
+		return v, errors.Errorf("address: %q has the port 0, which can't be called", b.Address)
+	}
+	if b.Slots < 1 || b.Connections < b.Slots || b.Connections > maxSlots {
+		return v, errors.Errorf("slots is %d and must be at least 1; connections is %d and must be at least slots and at most %d", b.Slots, b.Connections, maxSlots)
 	}
 	return v, nil
 }
@@ -120,8 +132,13 @@
 	if !v.Worker.Size.Valid() || v.Worker.Size.IsZero() || !v.Worker.Services.Valid() {
 		return v, errors.New("worker: size must be positive and services must not be negative")
 	}
-	if h.Usage.AgeSeconds < 0 || h.Usage.Pressure < 0 {
-		return v, errors.New("usage: age-seconds and pressure must not be negative")
+	for _, r := range []notch.Resources{v.Worker.Size, v.Worker.Services, h.Usage.Load.Value()} {
+		if max(r.MilliCPU, r.MemoryMB, r.Accelerators) > maxAmount {
+			return v, errors.Errorf("worker: has %v, at most %d of each are allowed", r, maxAmount)
+		}
+	}
+	if h.Usage.AgeSeconds < 0 || h.Usage.AgeSeconds > maxSeconds || h.Usage.Pressure < 0 {
+		return v, errors.Errorf("usage: age-seconds and pressure must not be negative, age-seconds must be at most %d", maxSeconds)
 	}
 	v.Usage = notch.Usage{
 		Age:  time.Duration(h.Usage.AgeSeconds * float64(time.Second)),
@@ -211,8 +228,8 @@
 		}
 		v.Class = c
 	}
-	if j.Tasks < 0 || j.ExpectedSeconds < 0 {
-		return v, errors.New("tasks and expected-seconds must not be negative")
+	if j.Tasks < 0 || j.ExpectedSeconds < 0 || j.ExpectedSeconds > maxSeconds {
+		return v, errors.Errorf("tasks and expected-seconds must not be negative, expected-seconds must be at most %d", maxSeconds)
 	}
 	if j.Tasks == 0 {
 		v.Tasks = 1
