Tell linked daemons what is new in the hello

Daemons that started together could miss each other for good: each of them got the hello of the replica before the replica had handled the hello of the other one, and a hello was sent at handshakes only. Announcements of backend servers went to the links alone, so these entries didn't get each other's (own protocol). The hello that the dialling side sent was read for its name only.

A session now remembers what its handshake told the peer. When the hello changes, the link sends a hello that lists the daemons that are new, once a session each; the accepting side passes on what the dialling side knows. The handshakes don't grow. A hello that arrives as a message doesn't count as an established link any more: none was sent so before.

Before: together_test.go:88: e: got no link to the other entry, want one together_test.go:88: f: got no link to the other entry, want one

--- a/effect.go
+++ b/effect.go
@@ -21,7 +21,7 @@
 // Connect opens a link to a daemon.
 type Connect struct{ Daemon Daemon }
 
-// SetHello replaces the message that opens new links.
+// SetHello replaces the message that opens new links, and tells the linked daemons what is new in it.
 type SetHello struct{ Hello Hello }
 
 // SetCluster records durably which cluster the data folder belongs to.
--- a/link/accept.go
+++ b/link/accept.go
@@ -29,7 +29,7 @@
 func (l *Link) serve(conn *websocket.Conn) {
 	handshakeCtx, cancel := context.WithTimeout(l.ctx, dialTimeout)
 	conn.SetReadLimit(maxHandshakeSize)
-	hello, err := l.handshake(handshakeCtx, conn, acceptor)
+	hello, err := l.handshake(handshakeCtx, conn, acceptor, l.helloNow())
 	cancel()
 	if err != nil {
 		conn.Close(websocket.StatusPolicyViolation, err.Error())
@@ -40,6 +40,9 @@
 	// when that connection is established.
 	l.Connect(hello.Daemon)
 	l.onAccepted(hello.Daemon)
+	if len(hello.Known) > 0 {
+		l.post(notch.MessageReceived{From: hello.Daemon.Name, Message: hello})
+	}
 	for {
 		_, b, err := conn.Read(l.ctx)
 		if err != nil {
--- a/link/contact.go
+++ b/link/contact.go
@@ -37,7 +37,7 @@
 // until the connection ends. After an error it waits before another one may be dialled.
 func (l *Link) runContactConn(ctx context.Context, p *peer, c *contactConn, incarnation uint64) {
 	defer l.contactEnded(ctx, p, c)
-	conn, hello, err := l.dial(ctx, p.address)
+	conn, hello, err := l.dial(ctx, p.address, l.helloNow())
 	if err != nil {
 		return
 	}
--- a/link/dial.go
+++ b/link/dial.go
@@ -42,16 +42,14 @@
 func (l *Link) runSession(ctx context.Context, p *peer) string {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, hello, err := l.dial(ctx, p.address)
+	sent := l.helloNow()
+	conn, hello, err := l.dial(ctx, p.address, sent)
 	if err != nil {
 		return ""
 	}
 	defer conn.CloseNow()
 	name := hello.Daemon.Name
-	l.mu.Lock()
-	l.peersByName[name] = p
-	p.incarnation, p.session, p.endSession = hello.Daemon.Incarnation, ctx, cancel
-	l.mu.Unlock()
+	l.sessionBegan(p, hello, sent, ctx, cancel)
 	defer l.sessionEnded(p)
 	l.post(notch.PeerUp{Hello: hello})
 	// The peer sends no messages on this connection; CloseRead handles pongs and the
@@ -61,10 +59,24 @@
 	return name
 }
 
+// sessionBegan records a session with p, which got the hello sent, and tells it what has changed in
+// the hello since.
+func (l *Link) sessionBegan(p *peer, received, sent notch.Hello, ctx context.Context, cancel context.CancelFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peersByName[received.Daemon.Name] = p
+	p.incarnation, p.session, p.endSession = received.Daemon.Incarnation, ctx, cancel
+	p.told = map[string]notch.Daemon{}
+	for _, d := range sent.Known {
+		p.told[d.Name] = d
+	}
+	l.tellNews(p)
+}
+
 func (l *Link) sessionEnded(p *peer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p.session, p.endSession, p.contact = nil, nil, nil
+	p.session, p.endSession, p.contact, p.told = nil, nil, nil, nil
 }
 
 // client dials with a bound on the time that sent data may stay unacknowledged,
@@ -88,9 +100,9 @@
 	return err
 }
 
-// dial opens a connection and carries out the handshake. It returns the other side's
-// hello.
-func (l *Link) dial(ctx context.Context, address string) (*websocket.Conn, notch.Hello, error) {
+// dial opens a connection and carries out the handshake, in which it sends own. It returns
+// the other side's hello.
+func (l *Link) dial(ctx context.Context, address string, own notch.Hello) (*websocket.Conn, notch.Hello, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, _, err := websocket.Dial(dialCtx, "ws://"+address+Path, &websocket.DialOptions{
@@ -100,7 +112,7 @@
 		return nil, notch.Hello{}, errors.Wrap(err, "dial")
 	}
 	conn.SetReadLimit(maxHandshakeSize)
-	hello, err := l.handshake(dialCtx, conn, dialler)
+	hello, err := l.handshake(dialCtx, conn, dialler, own)
 	if err != nil {
 		conn.CloseNow()
 		return nil, notch.Hello{}, err
--- a/link/handshake.go
+++ b/link/handshake.go
@@ -31,8 +31,9 @@
 	MAC   []byte // HMAC-SHA-256 over the side, both nonces and Hello
 }
 
-// handshake exchanges nonces and then proofs. It returns the other side's hello.
-func (l *Link) handshake(ctx context.Context, conn *websocket.Conn, own side) (notch.Hello, error) {
+// handshake exchanges nonces and then proofs, of which this side's holds hello. It returns the other
+// side's hello.
+func (l *Link) handshake(ctx context.Context, conn *websocket.Conn, own side, hello notch.Hello) (notch.Hello, error) {
 	var none notch.Hello
 	nonce := make([]byte, nonceSize)
 	rand.Read(nonce)
@@ -52,15 +53,15 @@
 		other = dialler
 		dialNonce, acceptNonce = otherNonce, nonce
 	}
-	if err := l.sendProof(ctx, conn, own, dialNonce, acceptNonce); err != nil {
+	if err := l.sendProof(ctx, conn, own, hello, dialNonce, acceptNonce); err != nil {
 		return none, err
 	}
 	return l.readProof(ctx, conn, other, dialNonce, acceptNonce)
 }
 
 // sendProof sends this side's proof.
-func (l *Link) sendProof(ctx context.Context, conn *websocket.Conn, own side, dialNonce, acceptNonce []byte) error {
-	hello, err := wire.EncodeMessage(l.helloNow())
+func (l *Link) sendProof(ctx context.Context, conn *websocket.Conn, own side, h notch.Hello, dialNonce, acceptNonce []byte) error {
+	hello, err := wire.EncodeMessage(h)
 	if err != nil {
 		return err
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -64,10 +64,11 @@
 	stop    context.CancelFunc
 	redial  chan struct{} // ends the wait before the next dial
 
-	incarnation uint64             // of the daemon at the other end of the session
-	session     context.Context    // ends with the session; nil if there is none
-	endSession  context.CancelFunc // ends the session; nil if there is none
-	contact     *contactConn       // of the session; nil until it is needed
+	incarnation uint64                  // of the daemon at the other end of the session
+	session     context.Context         // ends with the session; nil if there is none
+	endSession  context.CancelFunc      // ends the session; nil if there is none
+	contact     *contactConn            // of the session; nil until it is needed
+	told        map[string]notch.Daemon // daemons that the peer was told of in this session, by name
 }
 
 // Option adjusts a new Link.
@@ -92,6 +93,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hello = h
+	for _, p := range l.peersByAddress {
+		if p.session != nil {
+			l.tellNews(p)
+		}
+	}
+}
+
+// tellNews sends a peer with a session those daemons in the hello that it wasn't told of. It needs
+// l.mu.
+func (l *Link) tellNews(p *peer) {
+	news := l.hello
+	news.Known = nil
+	for _, d := range l.hello.Known {
+		if p.told[d.Name] != d && d.Address != p.address {
+			p.told[d.Name] = d
+			news.Known = append(news.Known, d)
+		}
+	}
+	if len(news.Known) > 0 {
+		p.outbox.put(news)
+	}
 }
 
 // helloNow returns the hello to send.
--- a/member/member.go
+++ b/member/member.go
@@ -114,7 +114,7 @@
 func (p Part) receive(now notch.Time, b notch.MessageReceived) (notch.Part, []notch.Effect) {
 	switch m := b.Message.(type) {
 	case notch.Hello:
-		return p.peerUp(now, m)
+		return p.mergeHello(now, m)
 	case notch.Announcements:
 		next, out := p.mergeAnnouncements(now, m).applyRenewals(now, b.From, m)
 		return next, append(out, p.relay(b.From, m)...)
@@ -124,6 +124,13 @@
 	return nil, nil
 }
 
+// mergeHello records the daemons that another daemon knows. That daemon itself is recorded once a link
+// to it is established.
+func (p Part) mergeHello(now notch.Time, h notch.Hello) (Part, []notch.Effect) {
+	next, out := p.mergeDaemons(now, h.Known)
+	return next, append(out, notch.SetHello{Hello: next.Hello()})
+}
+
 func (p Part) peerUp(now notch.Time, h notch.Hello) (Part, []notch.Effect) {
 	if h.Daemon.Name == p.self.Name {
 		return p, nil
--- a/message.go
+++ b/message.go
@@ -87,8 +87,8 @@
 // LeaderQuery asks a replica which replica leads.
 type LeaderQuery struct{ SentAt Time }
 
-// Hello is the first message on a link. When its content changes, the next handshakes carry the
-// new one; peers that are linked already aren't told.
+// Hello is the first message on a link. When the sender learns of other daemons later, another one
+// follows that lists only these.
 type Hello struct {
 	Daemon  Daemon
 	Storage uint64   // id of the sender's data folder; zero: it has none
--- a/runner.go
+++ b/runner.go
@@ -22,7 +22,8 @@
 	Send(to string, m Message)
 	// Connect opens a link to a daemon.
 	Connect(d Daemon)
-	// SetHello replaces the message that opens new links.
+	// SetHello replaces the message that opens new links, and tells the linked daemons what is
+	// new in it.
 	SetHello(h Hello)
 	Close() error
 }
--- a/script/step.go
+++ b/script/step.go
@@ -80,7 +80,7 @@
 	notch.SlotsGranted{}, notch.LeaseExtended{}, notch.Leadership{}, notch.LeaderChanged{}, notch.RequestArrived{},
 	notch.AttemptEnded{}, notch.CallerGone{}, notch.HedgeDue{}, notch.LaneLoad{}, notch.ReplicaLinked{}, notch.HeartbeatReceived{},
 	notch.VoteRequest{}, notch.VoteReply{}, notch.AppendRequest{}, notch.AppendReply{}, notch.LeaderQuery{}, notch.LeaderHint{},
-	notch.EntryReport{}, notch.EntryGrant{}, notch.Announcements{}, notch.AnnouncementRequest{}, notch.LeaveMessage{}, notch.TimeoutNow{},
+	notch.EntryReport{}, notch.EntryGrant{}, notch.Announcements{}, notch.AnnouncementRequest{}, notch.LeaveMessage{}, notch.TimeoutNow{}, notch.Hello{},
 	notch.Noop{}, notch.Barrier{}, notch.EditTable{}, notch.ClaimRequest{}, notch.ReleaseClaim{}, notch.SubmitJob{},
 	notch.CancelJobs{}, notch.RegisterWorker{}, notch.PlaceTasks{}, notch.ReportTasks{}, notch.ReleaseWorker{},
 	notch.StopTasks{}, notch.QuarantineWorker{}, notch.ChangeReplicas{}, notch.Proposal{},
