--- a/consensus/failing.go
+++ b/consensus/failing.go
@@ -7,9 +7,9 @@
 )
 
 // A replica whose journal is failing, for example because its disk is full, can acknowledge nothing.
-// A leader hands over at once, and commits what it has sent if the others sync it. A follower doesn't campaign, grants no votes and takes no entries, so
-// that what waits for the journal stays small. It answers nothing to the leader, for which it is away
-// until the journal works again.
+// A leader hands over at once, and commits what it has sent if the others sync it. A follower
+// doesn't campaign, grants no votes and takes no entries, so that what waits for the journal stays
+// small. It answers nothing to the leader, for which it is away until the journal works again.
 
 // metricJournalFailing is 1 while the journal is failing.
 const metricJournalFailing = "journal-failing"
