Stand-in: tasks that crash their agents, and agents whose size changes

A task may crash each agent that starts it within 20 ms; the agent is back after 3.2 s under its id or a new one at its address. An agent may start whatever it is ordered to, and its size may change while it runs. The checker knows both rules: no more than two starts of a task after three agents have crashed under it (BUDGET), and no start that brings an agent over its size, where a former size counts for 4 s more (LIMIT).

--- a/fake/agent.go
+++ b/fake/agent.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -16,6 +17,9 @@
 	AnswersLost bool                                  // it carries out orders, and all its answers are lost
 	LateShare   float64                               // fraction of the orders that get no answer and are carried out late
 	Broken      bool                                  // every run fails
+	Unguarded   bool                                  // it starts whatever it is ordered to, also beyond its size
+	Crashes     func(ref notch.TaskRef) bool          // whether a task crashes the agent soon after its start; nil: none does
+	NewID       bool                                  // after a crash by a task, it comes back under a new id at its address
 	Drift       float64                               // relative error of its clock
 	RunTime     func(ref notch.TaskRef) time.Duration // duration of a run
 	Report      func(ref notch.RunRef) notch.LiveRun  // what it reports about a run in progress; nil: half of it is done
@@ -26,6 +30,7 @@
 	leaseEnd        int64         // in ms by its clock
 	runs            map[notch.RunRef]*agentRun
 	highestEnded    map[notch.TaskRef]uint64 // highest number of a run that was stopped or has ended
+	formerSizes     []formerSize             // sizes that still count, as the leader may not know of the change
 	ends            []listedEnd              // not acknowledged yet
 	lastEnd         uint64                   // position of the latest end in the list
 	pendingRenewals []func()                 // answer the lease renewals that wait for a run to end
@@ -41,6 +46,12 @@
 	invalid bool
 }
 
+// formerSize is a size that an agent had until a change.
+type formerSize struct {
+	size  notch.Resources
+	until time.Duration // from then on it no longer counts
+}
+
 // The timing of simulated agents.
 const (
 	agentAnnouncePeriod = time.Second
@@ -50,6 +61,9 @@
 	longRunTime         = 24 * time.Hour   // run time of a long-running task
 	maxOrderDelay       = 12 * time.Second // of a late order
 	minOrderDelay       = 2 * time.Second
+	maxCrashDelay       = 20 * time.Millisecond // from the start of a task that crashes its agent
+	agentRestartTime    = 3200 * time.Millisecond
+	maxSizeChangeDelay  = 4 * time.Second // after which the leader has to know of a change of an agent's size: contact and one announcement
 )
 
 // AddAgent adds and starts an agent. RunTime returns the duration of a run.
@@ -79,9 +93,51 @@
 	a.generation++
 	for ref := range a.runs {
 		s.workflowChecker.runEnded(ref, false)
+		s.workflowChecker.crashes[ref.Task]++
 	}
 }
 
+// crashAgent crashes an agent, which comes back after agentRestartTime.
+func (s *Testbed) crashAgent(a *Agent) {
+	s.KillAgent(a)
+	generation := a.generation
+	s.After(agentRestartTime, func() {
+		if a.generation != generation {
+			return
+		}
+		if a.NewID {
+			delete(s.Agents, a.ID)
+			a.ID = fmt.Sprintf("%s-%d", a.Address, a.generation)
+			s.Agents[a.ID] = a
+		}
+		s.StartAgent(a)
+	})
+}
+
+// ResizeAgent changes the size of an agent while it runs. What it announces next shows it.
+func (s *Testbed) ResizeAgent(a *Agent, size notch.Resources) {
+	a.formerSizes = append(a.formerSizes, formerSize{size: a.Size, until: s.Now() + maxSizeChangeDelay})
+	a.Size = size
+}
+
+// countsAsFitting reports whether resources fit into the size of an agent, or into one that it had
+// so recently that the leader may not know of the change.
+func (s *Testbed) countsAsFitting(a *Agent, used notch.Resources) bool {
+	return used.Fits(a.Size) || slices.ContainsFunc(a.formerSizes, func(f formerSize) bool {
+		return s.Now() < f.until && used.Fits(f.size)
+	})
+}
+
+// agentAt returns the running agent at an address, or nil.
+func (s *Testbed) agentAt(address string) *Agent {
+	for _, a := range s.Agents {
+		if a.Up && a.Address == address {
+			return a
+		}
+	}
+	return nil
+}
+
 // agentClock returns the reading of the agent's clock in ms since its start.
 func (s *Testbed) agentClock(a *Agent) int64 {
 	return int64(float64((s.Now() - a.startedAt).Milliseconds()) * (1 + a.Drift))
@@ -149,6 +205,9 @@
 	s.After(f.Timeout, func() { answer(notch.AgentAnswer{Kind: notch.AgentNoAnswer}) })
 	a := s.Agents[f.Agent.ID]
 	if a == nil {
+		if other := s.agentAt(f.Agent.Address); other != nil && !other.CutOff {
+			s.After(2*agentNetworkDelay, func() { answer(notch.AgentAnswer{Kind: notch.AgentWrongIncarnation}) })
+		}
 		return
 	}
 	delay := time.Duration(0)
@@ -235,10 +294,11 @@
 		other, _ := s.workflowChecker.stage(ref.Task)
 		used = used.Plus(other.Reserved())
 	}
-	if ok && !st.Reserved().Fits(a.Size.Minus(used)) {
+	if ok && !a.Unguarded && !st.Reserved().Fits(a.Size.Minus(used)) {
 		return notch.ReasonNoCapacity
 	}
 	s.workflowChecker.checkStart(s, a, o)
+	s.workflowChecker.checkLimit(s, a, o.Run.Task, used.Plus(st.Reserved()))
 	r := &agentRun{startedAt: s.Now()}
 	a.runs[o.Run] = r
 	generation, kind := a.generation, notch.RunDone
@@ -254,6 +314,14 @@
 			s.endRun(a, o.Run, kind)
 		}
 	})
+	if a.Crashes != nil && a.Crashes(o.Run.Task) {
+		s.workflowChecker.deadly[o.Run.Task] = true
+		s.After(time.Duration(s.Rand.Int64N(int64(maxCrashDelay))), func() {
+			if a.generation == generation {
+				s.crashAgent(a)
+			}
+		})
+	}
 	return ""
 }
 
--- a/fake/workflowchecker.go
+++ b/fake/workflowchecker.go
@@ -20,6 +20,9 @@
 	done                 map[notch.TaskRef]bool   // a run of the task ended as done
 	acknowledged         map[notch.TaskRef]bool   // such an end was acknowledged
 	acknowledgedFailures map[notch.TaskRef]int    // number of acknowledged failed ends
+	crashes              map[notch.TaskRef]int    // number of agents that crashed with a run of the task
+	deadly               map[notch.TaskRef]bool   // the task crashes each agent that starts it
+	startsAfterCrashes   map[notch.TaskRef]int    // number of starts of a deadly task after maxTaskCrashes
 }
 
 func newWorkflowChecker() *workflowChecker {
@@ -27,6 +30,7 @@
 		workflows: map[string]notch.Workflow{}, maxFailures: map[string]int{}, submissions: map[string]int{}, refusals: map[string]int{},
 		cancelledAt: map[string]time.Duration{}, activeRuns: map[notch.TaskRef]int{}, done: map[notch.TaskRef]bool{},
 		acknowledged: map[notch.TaskRef]bool{}, acknowledgedFailures: map[notch.TaskRef]int{},
+		crashes: map[notch.TaskRef]int{}, deadly: map[notch.TaskRef]bool{}, startsAfterCrashes: map[notch.TaskRef]int{},
 	}
 }
 
@@ -34,6 +38,12 @@
 // workflow may still start.
 const maxCancelDelay = 3 * time.Second
 
+// The budget of a task that crashes the agents that start it.
+const (
+	maxTaskCrashes        = 3
+	maxStartsAfterCrashes = 2 // after maxTaskCrashes
+)
+
 // stage returns the stage of a task. It reports false if no submitted workflow has
 // that stage.
 func (c *workflowChecker) stage(t notch.TaskRef) (notch.Stage, bool) {
@@ -80,9 +90,32 @@
 	if st.Label != "" && !slices.Contains(a.Labels, st.Label) {
 		s.reportViolation("ROUTE: %v was started on an agent without its label", t)
 	}
+	if c.deadly[t] && c.crashes[t] >= maxTaskCrashes {
+		if c.startsAfterCrashes[t]++; c.startsAfterCrashes[t] > maxStartsAfterCrashes {
+			s.reportViolation("BUDGET: %v was started on %s after %d agents had crashed under it", t, a.ID, c.crashes[t])
+		}
+	}
 	c.activeRuns[t]++
 }
 
+// checkLimit checks that a start brings an agent that starts whatever it is ordered to not over its
+// size. Used includes the runs that are being stopped.
+func (c *workflowChecker) checkLimit(s *Testbed, a *Agent, t notch.TaskRef, used notch.Resources) {
+	if a.Unguarded && !s.countsAsFitting(a, used) {
+		s.reportViolation("LIMIT: %v was started on %s, which then runs %v of %v", t, a.ID, used, a.Size)
+	}
+}
+
+// mayBeGivenUp reports whether a task of a workflow crashes agents.
+func (c *workflowChecker) mayBeGivenUp(id string) bool {
+	for t := range c.deadly {
+		if t.Flow == id {
+			return true
+		}
+	}
+	return false
+}
+
 // runEnded records that a run has ended on its agent.
 func (c *workflowChecker) runEnded(ref notch.RunRef, done bool) {
 	c.activeRuns[ref.Task]--
