--- a/fake/agent.go
+++ b/fake/agent.go
@@ -95,6 +95,7 @@
 		s.workflowChecker.runEnded(ref, false)
 		s.workflowChecker.crashes[ref.Task]++
 	}
+	clear(a.runs)
 }
 
 // crashAgent crashes an agent, which comes back after agentRestartTime.
@@ -120,11 +121,11 @@
 	a.Size = size
 }
 
-// countsAsFitting reports whether resources fit into the size of an agent, or into one that it had
-// so recently that the leader may not know of the change.
-func (s *Testbed) countsAsFitting(a *Agent, used notch.Resources) bool {
+// countsAsFitting reports whether resources fit into the size of an agent, or into one of which the
+// leader may not have known that it had changed when it sent an order.
+func (a *Agent) countsAsFitting(used notch.Resources, sentAt time.Duration) bool {
 	return used.Fits(a.Size) || slices.ContainsFunc(a.formerSizes, func(f formerSize) bool {
-		return s.Now() < f.until && used.Fits(f.size)
+		return sentAt < f.until && used.Fits(f.size)
 	})
 }
 
@@ -195,7 +196,7 @@
 // sendOrder delivers an order to its agent and the answer to the daemon. The daemon
 // gets AgentNoAnswer if no other answer arrives before the timeout.
 func (s *Testbed) sendOrder(n *drive.Node, f notch.CallAgent) {
-	sent, done := s.Time(n), false
+	sent, sentAt, done := s.Time(n), s.Now(), false
 	answer := func(ans notch.AgentAnswer) {
 		if !done {
 			done = true
@@ -230,14 +231,14 @@
 		}
 		s.After(delay, func() {
 			if a.generation == generation {
-				s.executeOrder(a, f.Order, reply)
+				s.executeOrder(a, f.Order, sentAt, reply)
 			}
 		})
 	})
 }
 
-// executeOrder carries out or refuses an order.
-func (s *Testbed) executeOrder(a *Agent, o notch.AgentOrder, reply func(notch.AgentAnswer)) {
+// executeOrder carries out or refuses an order that was sent at the given time.
+func (s *Testbed) executeOrder(a *Agent, o notch.AgentOrder, sentAt time.Duration, reply func(notch.AgentAnswer)) {
 	generation := a.generation
 	refuse := func(r notch.AgentReason) {
 		reply(notch.AgentAnswer{Kind: notch.AgentRefused, Reason: r, Clock: s.agentClock(a), Born: a.Born})
@@ -254,7 +255,7 @@
 			return
 		}
 		s.extendLease(a, o.Deadline)
-		if reason := s.startRun(a, o); reason != "" {
+		if reason := s.startRun(a, o, sentAt); reason != "" {
 			refuse(reason)
 			return
 		}
@@ -281,7 +282,7 @@
 
 // startRun starts a run. It returns a reason if it refuses to, and does nothing if
 // the run is already in progress.
-func (s *Testbed) startRun(a *Agent, o notch.AgentOrder) notch.AgentReason {
+func (s *Testbed) startRun(a *Agent, o notch.AgentOrder, sentAt time.Duration) notch.AgentReason {
 	if a.runs[o.Run] != nil {
 		return ""
 	}
@@ -298,7 +299,7 @@
 		return notch.ReasonNoCapacity
 	}
 	s.workflowChecker.checkStart(s, a, o)
-	s.workflowChecker.checkLimit(s, a, o.Run.Task, used.Plus(st.Reserved()))
+	s.workflowChecker.checkLimit(s, a, o.Run.Task, used.Plus(st.Reserved()), sentAt)
 	r := &agentRun{startedAt: s.Now()}
 	a.runs[o.Run] = r
 	generation, kind := a.generation, notch.RunDone
@@ -331,6 +332,9 @@
 	delete(a.runs, ref)
 	a.highestEnded[ref.Task] = max(a.highestEnded[ref.Task], ref.Number)
 	s.workflowChecker.runEnded(ref, kind == notch.RunDone)
+	if kind == notch.RunFailed {
+		s.workflowChecker.failures[ref.Task]++
+	}
 	a.lastEnd++
 	a.ends = append(a.ends, listedEnd{ListedEnd: notch.ListedEnd{N: a.lastEnd, End: notch.RunEnd{Run: ref, Kind: kind}}})
 	waiting := a.pendingRenewals
--- a/fake/workflow.go
+++ b/fake/workflow.go
@@ -37,7 +37,7 @@
 }
 
 // QueryWorkflow queries the state of a workflow through a daemon. It checks that the
-// workflow isn't reported as completed before all its tasks are done.
+// workflow isn't reported as completed before all its tasks are done, nor as failed without cause.
 func (s *Testbed) QueryWorkflow(n *drive.Node, id string, done func(notch.WorkflowState)) {
 	s.Query(n, notch.Query{Kind: notch.QueryWorkflow, Name: id}, 2*time.Second, func(a notch.AnswerQuery) {
 		if a.Err != nil {
@@ -46,6 +46,9 @@
 		if a.View.Flow.State == notch.WorkflowCompleted && !s.workflowChecker.allTasksDone(id) {
 			s.reportViolation("MIXED: %s is reported as completed, but not all its tasks are done", id)
 		}
+		if a.View.Flow.State == notch.WorkflowFailed && !s.workflowChecker.mayHaveFailed(id) {
+			s.reportViolation("LOST: %s is reported as failed without cause", id)
+		}
 		done(a.View.Flow.State)
 	})
 }
--- a/fake/workflowchecker.go
+++ b/fake/workflowchecker.go
@@ -20,6 +20,7 @@
 	done                 map[notch.TaskRef]bool   // a run of the task ended as done
 	acknowledged         map[notch.TaskRef]bool   // such an end was acknowledged
 	acknowledgedFailures map[notch.TaskRef]int    // number of acknowledged failed ends
+	failures             map[notch.TaskRef]int    // number of failed ends, acknowledged or not
 	crashes              map[notch.TaskRef]int    // number of agents that crashed with a run of the task
 	deadly               map[notch.TaskRef]bool   // the task crashes each agent that starts it
 	startsAfterCrashes   map[notch.TaskRef]int    // number of starts of a deadly task after maxTaskCrashes
@@ -30,7 +31,7 @@
 		workflows: map[string]notch.Workflow{}, maxFailures: map[string]int{}, submissions: map[string]int{}, refusals: map[string]int{},
 		cancelledAt: map[string]time.Duration{}, activeRuns: map[notch.TaskRef]int{}, done: map[notch.TaskRef]bool{},
 		acknowledged: map[notch.TaskRef]bool{}, acknowledgedFailures: map[notch.TaskRef]int{},
-		crashes: map[notch.TaskRef]int{}, deadly: map[notch.TaskRef]bool{}, startsAfterCrashes: map[notch.TaskRef]int{},
+		failures: map[notch.TaskRef]int{}, crashes: map[notch.TaskRef]int{}, deadly: map[notch.TaskRef]bool{}, startsAfterCrashes: map[notch.TaskRef]int{},
 	}
 }
 
@@ -42,6 +43,7 @@
 const (
 	maxTaskCrashes        = 3
 	maxStartsAfterCrashes = 2 // after maxTaskCrashes
+	minCrashesToGiveUp    = 2
 )
 
 // stage returns the stage of a task. It reports false if no submitted workflow has
@@ -100,16 +102,21 @@
 
 // checkLimit checks that a start brings an agent that starts whatever it is ordered to not over its
 // size. Used includes the runs that are being stopped.
-func (c *workflowChecker) checkLimit(s *Testbed, a *Agent, t notch.TaskRef, used notch.Resources) {
-	if a.Unguarded && !s.countsAsFitting(a, used) {
+func (c *workflowChecker) checkLimit(s *Testbed, a *Agent, t notch.TaskRef, used notch.Resources, sentAt time.Duration) {
+	if a.Unguarded && !a.countsAsFitting(used, sentAt) {
 		s.reportViolation("LIMIT: %v was started on %s, which then runs %v of %v", t, a.ID, used, a.Size)
 	}
 }
 
-// mayBeGivenUp reports whether a task of a workflow crashes agents.
-func (c *workflowChecker) mayBeGivenUp(id string) bool {
-	for t := range c.deadly {
-		if t.Flow == id {
+// mayHaveFailed reports whether a task of a workflow failed often enough, or agents crashed under it.
+func (c *workflowChecker) mayHaveFailed(id string) bool {
+	for t, n := range c.failures {
+		if t.Flow == id && n >= c.maxFailures[id] {
+			return true
+		}
+	}
+	for t, n := range c.crashes {
+		if t.Flow == id && n >= minCrashesToGiveUp {
 			return true
 		}
 	}
