Give up a task that crashes the agents that start it

Cause: only an end that an agent lists as failed counts against a task. A run that ends with its agent's incarnation was abandoned as lapsed or lost, and its task was open as before.

Now the end of such a run says whether its task is suspected. Three suspected incarnations in a row end the job, once two of them have certainly ended: a later incarnation has their id or their address. Not counted: agents that drain, agents that answer again, runs that their agent survived for 3 s, and losses of most of a rack or failure domain together. Suspected tasks are placed apart from one another, and from the third suspect on wait up to 10 s for their agents to come back.

--- a/fake/crashtask_test.go
+++ b/fake/crashtask_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +81,90 @@
 		}
 	}
 }
+
+// agentTroubles are ways in which agents end or fall silent without any task being the cause.
+var agentTroubles = map[string]func(w *workflowTest){
+	"a rack loses power": func(w *workflowTest) {
+		for _, a := range w.agents {
+			if a.Rack == "r0" && a.Up {
+				w.crashAgent(a)
+			}
+		}
+	},
+	"an agent crashes":     func(w *workflowTest) { w.crashIfUp(w.agents[w.Rand.IntN(len(w.agents))]) },
+	"an agent flaps":       func(w *workflowTest) { w.crashIfUp(w.agents[0]) },
+	"agents are cut off":   func(w *workflowTest) { w.silence(func(a *Agent) *bool { return &a.CutOff }, 6*time.Second) },
+	"agents freeze":        func(w *workflowTest) { w.silence(func(a *Agent) *bool { return &a.AnswersLost }, 5*time.Second) },
+	"agents are cut often": func(w *workflowTest) { w.silence(func(a *Agent) *bool { return &a.CutOff }, 1500*time.Millisecond) },
+}
+
+func (w *workflowTest) crashIfUp(a *Agent) {
+	if a.Up {
+		w.crashAgent(a)
+	}
+}
+
+// silence silences two agents for a while.
+func (w *workflowTest) silence(flag func(*Agent) *bool, d time.Duration) {
+	for range 2 {
+		f := flag(w.agents[w.Rand.IntN(len(w.agents))])
+		*f = true
+		w.After(d, func() { *f = false })
+	}
+}
+
+// Tasks that merely shared agents that crashed or fell silent were taken for the cause.
+func TestInnocentTasksAreNotGivenUp(t *testing.T) {
+	for name, trouble := range agentTroubles {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed+1), func(t *testing.T) {
+				t.Parallel()
+				w := newCrashTest(t, seed+1, seed%2 == 0)
+				w.submitOne("lasting", notch.Stage{Count: 6, Lasts: true})
+				for range 12 {
+					w.submitNeighbours(3500 * time.Millisecond)
+					trouble(w)
+				}
+				w.Run(20 * time.Second)
+				if got := w.Counters["tasks-given-up"]; got != 0 {
+					t.Errorf("tasks given up: got %d, want 0", got)
+				}
+				w.checkNoneFailed(t)
+			})
+		}
+	}
+}
+
+// checkNoneFailed checks that no accepted workflow has failed.
+func (w *workflowTest) checkNoneFailed(t *testing.T) {
+	t.Helper()
+	for _, id := range w.ids {
+		w.QueryWorkflow(w.entries[0], id, func(got notch.WorkflowState) {
+			if got == notch.WorkflowFailed {
+				t.Errorf("state of %s: got %q, want another one", id, got)
+			}
+		})
+	}
+	w.Run(time.Second)
+	for _, v := range w.Violations {
+		t.Error(v)
+	}
+}
+
+// TestRandomWorkflowsCrashing is TestRandomWorkflows with tasks that crash their agents, which come
+// back under new ids or the same, and with agents that don't refuse what exceeds their size.
+func TestRandomWorkflowsCrashing(t *testing.T) {
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorkflowTest(t, seed)
+			for _, a := range w.agents {
+				a.Crashes = func(ref notch.TaskRef) bool { return strings.HasSuffix(ref.Flow, "3") && ref.Stage+ref.Index == 0 }
+				a.NewID = seed%2 == 0
+				a.Unguarded = true
+			}
+			w.run(t)
+		})
+	}
+}
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -27,7 +27,7 @@
 	case notch.CancelWorkflow:
 		r = s.cancel(c.ID, e.At)
 	case notch.AdmitAgent:
-		s.admitAgent(c.Agent)
+		s.admitAgent(c.Agent, e.At)
 	case notch.PlaceRuns:
 		s.placeRuns(c, e.At)
 	case notch.EndRuns:
@@ -110,14 +110,14 @@
 // admitAgent records what an agent announced about itself. An announcement of an incarnation
 // that has left, or that is older than the known one, is ignored. An agent that drains keeps
 // draining until its next incarnation.
-func (s *stepper) admitAgent(a notch.Agent) {
+func (s *stepper) admitAgent(a notch.Agent, at notch.Time) {
 	old, ok := s.agents.Get(a.ID)
 	if a.Left {
 		// A leave message contains only the id and the incarnation; Born may be 0.
 		if !ok || a.Born != 0 && a.Born != old.Born {
 			return
 		}
-		old.Left, old.Draining = true, true
+		old.Left, old.Draining = true, old.Draining || a.Draining
 		a = old
 	} else if ok && (old.Born > a.Born || old.Born == a.Born && old.Left) {
 		return
@@ -126,7 +126,12 @@
 		a.Draining = a.Draining || old.Draining
 	}
 	s.agents = s.agents.Set(a.ID, a)
+	before := s.holdAddress(a)
 	if !ok || old.Born != a.Born {
+		s.successorAdmitted(a.ID, at)
+		if precedes(before, a.Incarnation()) {
+			s.successorAdmitted(before.Agent, at)
+		}
 		s.startSession(a, ok)
 	}
 	if session, known := s.sessions.Get(a.ID); known && a.Left {
@@ -206,6 +211,10 @@
 	if !ok {
 		return
 	}
+	if e.Suspicion == notch.SuspicionWithdrawn {
+		s.withdrawSuspicion(incarnation, e.Run.Task, at)
+		return
+	}
 	st := w.Flow.Stages[e.Run.Task.Stage]
 	if s.doneAfterAbandoned(e) {
 		s.putWorkflow(w.WithTask(e.Run.Task, s.taskAfterEnd(w, st, t, e, at), at))
@@ -219,7 +228,11 @@
 	s.removeRun(incarnation.Agent, e.Run)
 	s.runOrders = s.runOrders.Delete(e.Run)
 	s.cpuLimitsByRun = s.cpuLimitsByRun.Delete(e.Run)
-	next := w.WithTask(e.Run.Task, s.taskAfterEnd(w, st, t.WithoutRun(r.Number), e, at), at)
+	t = s.taskAfterEnd(w, st, t.WithoutRun(r.Number).WithSuspicion(e.Suspicion, r.Life), e, at)
+	if e.Suspicion == notch.SuspicionRaised {
+		s.indexSuspect(r.Life, e.Run.Task)
+	}
+	next := s.withJudgedTask(w, e.Run.Task, t, at)
 	s.putWorkflow(next)
 	s.count("runs-"+string(e.Kind), 1)
 	switch {
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -85,11 +85,13 @@
 	agents    *immutable.SortedMap[string, notch.Agent]
 
 	// Derived from the replicated state:
-	waiting       *immutable.SortedMap[string, *graph.Workflow] // workflows with open tasks without a run, by id
-	active        int                                           // number of workflows that have tasks to run or runs to end
-	queuedByRoute *immutable.Map[string, int]                   // number of workflows of which no task has started
-	loads         *immutable.Map[string, agentLoad]             // by agent
-	ended         *immutable.List[string]                       // workflows in the order of their end
+	waiting        *immutable.SortedMap[string, *graph.Workflow]  // workflows with open tasks without a run, by id
+	active         int                                            // number of workflows that have tasks to run or runs to end
+	queuedByRoute  *immutable.Map[string, int]                    // number of workflows of which no task has started
+	loads          *immutable.Map[string, agentLoad]              // by agent
+	addressHolders *immutable.Map[string, notch.AgentIncarnation] // latest incarnation at each address
+	suspectedTasks *immutable.Map[string, []notch.TaskRef]        // by agent that fell silent under them; tasks that were cleared since may be among them
+	ended          *immutable.List[string]                        // workflows in the order of their end
 
 	// Learned from the replicated log, with the times at which this replica applied it:
 	agentClocks *immutable.Map[string, agentClock] // by agent
@@ -99,6 +101,7 @@
 	incarnations         uint64 // number of agent incarnations met in this term
 	fencedTerm           uint64 // term in which an agent refused an order because of a later leader's token
 	sessions             *immutable.SortedMap[string, agentSession]
+	losses               []agentLoss // of the last seconds; never modified in place
 	runOrders            *immutable.Map[notch.RunRef, runOrders]
 	cpuLimitsByRun       *immutable.Map[notch.RunRef, cpuLimit]
 	colocations          *immutable.Map[string, colocationState] // by agent
@@ -137,6 +140,8 @@
 	p.active = 0
 	p.queuedByRoute = immutable.NewMap[string, int](nil)
 	p.loads = immutable.NewMap[string, agentLoad](nil)
+	p.addressHolders = immutable.NewMap[string, notch.AgentIncarnation](nil)
+	p.suspectedTasks = immutable.NewMap[string, []notch.TaskRef](nil)
 	p.ended = immutable.NewList[string]()
 	p.agentClocks = immutable.NewMap[string, agentClock](nil)
 	return p
@@ -145,6 +150,7 @@
 // withoutLeaderState returns p without the state that only a leader knows.
 func (p Part) withoutLeaderState() Part {
 	p.sessions = immutable.NewSortedMap[string, agentSession](nil)
+	p.losses = nil
 	p.runOrders = immutable.NewMap[notch.RunRef, runOrders](runRefHasher{})
 	p.cpuLimitsByRun = immutable.NewMap[notch.RunRef, cpuLimit](runRefHasher{})
 	p.colocations = immutable.NewMap[string, colocationState](nil)
--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		session := agentSession{
-			incarnation: a.Incarnation(), token: s.token(), lease: s.formerLease(a, formerLeasesEnd),
+			incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: s.formerLease(a, formerLeasesEnd),
 			staleOrdersUntil: l.Ready.Add(maxOrderDelay), // the agent may have restarted just before
 		}
 		if a.Left {
@@ -139,6 +139,13 @@
 	if restarted {
 		l = l.WithStaleGrants(s.timing.MaxLease)
 	}
-	s.sessions = s.sessions.Set(a.ID, agentSession{incarnation: a.Incarnation(), token: s.token(), lease: l, staleOrdersUntil: s.now.Add(maxOrderDelay)})
+	before, _ := s.sessions.Get(a.ID)
+	if restarted && before.unanswered == 0 {
+		s.recordLoss(a)
+	}
+	s.sessions = s.sessions.Set(a.ID, agentSession{
+		incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: l, staleOrdersUntil: s.now.Add(maxOrderDelay),
+		predecessorAnsweredAt: before.lastAnsweredAt,
+	})
 	s.renewLease(a.ID)
 }
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -11,6 +11,9 @@
 func (s *stepper) renewalAnswered(session agentSession, b notch.AgentAnswered) {
 	session.renewalSentAt = 0
 	a, _ := s.agents.Get(session.incarnation.Agent)
+	if b.Answer.Kind != notch.AgentOK && session.unanswered == 0 {
+		s.recordLoss(a)
+	}
 	switch {
 	case b.Answer.Kind == notch.AgentWrongIncarnation:
 		session.unanswered++
@@ -44,6 +47,7 @@
 	s.logLapsedRuns(session, ends, b.Answer.Clock)
 	session.unanswered, session.lastAnsweredAt = 0, s.now
 	ends = append(ends, s.endsOfMissingRuns(session, a, b)...)
+	ends = append(ends, s.unfoundedSuspicions(session)...)
 	for _, l := range b.Answer.Live {
 		s.checkLiveRun(session, a, l)
 	}
@@ -130,6 +134,9 @@
 			continue
 		}
 		upTo = max(upTo, l.N)
+		if t, ok := s.task(l.End.Run.Task); ok && len(t.Suspects) > 0 {
+			l.End.Suspicion = notch.SuspicionCleared
+		}
 		if _, ok := s.run(l.End.Run); ok || s.doneAfterAbandoned(l.End) {
 			out = append(out, l.End)
 		}
@@ -180,7 +187,11 @@
 			continue
 		}
 		if kind, ended := s.decideMissingRun(session, a, ref, r, b.SentAt); ended {
-			out = append(out, notch.RunEnd{Run: ref, Kind: kind})
+			end := notch.RunEnd{Run: ref, Kind: kind}
+			if r.Life != session.incarnation {
+				end.Suspicion = s.suspicionAfter(session, run)
+			}
+			out = append(out, end)
 			s.logMessage("run given up: its agent doesn't list it", runFields(ref, a.ID, string(kind))...)
 		}
 	}
@@ -231,6 +242,11 @@
 	r, ok := t.Run(l.Run.Number)
 	if !ok || r.Life != session.incarnation || !w.MayRun(t) {
 		s.stopRun(a, l.Run)
+		return
+	}
+	if orders, _ := s.runOrders.Get(l.Run); orders.atWorkSince == 0 {
+		orders.atWorkSince = s.now
+		s.runOrders = s.runOrders.Set(l.Run, orders)
 	}
 }
 
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -141,6 +141,9 @@
 	}
 	orders, _ := s.runOrders.Get(ref)
 	orders.startOutcome, orders.startAnsweredAt = b.Answer.Kind, s.now
+	if b.Answer.Kind == notch.AgentOK && orders.atWorkSince == 0 {
+		orders.atWorkSince = s.now
+	}
 	s.runOrders = s.runOrders.Set(ref, orders)
 	if b.Answer.Kind != notch.AgentOK {
 		s.logMessage("start not confirmed", runFields(ref, b.Life.Agent, string(b.Answer.Kind)+" "+string(b.Answer.Reason))...)
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -145,9 +145,20 @@
 	}
 	examined := v.examined
 	scores := p.placer.Score(st, v)
+	apart := apartScores{views: v, score: func() notch.AgentScores { return p.placer.Score(st, v) }}
+	waited := p.now.Sub(g.workflow.At)
 	seed := p.seed + uint64(g.ahead)
 	g.eachTask(func(ref notch.TaskRef, t notch.WorkflowTask) bool {
-		i := scores.Next(p.now.Sub(g.workflow.At), seed)
+		if p.heldBack(t) {
+			return true
+		}
+		i := -1
+		if len(t.Suspects) > 0 {
+			i = apart.next(waited, seed)
+		}
+		if i < 0 {
+			i = scores.Next(waited, seed)
+		}
 		if i < 0 {
 			v.addShortage(scores)
 			p.made.StagesWithoutAgent++
@@ -155,7 +166,9 @@
 		}
 		seed++
 		p.placed = append(p.placed, notch.RunPlacement{Task: ref, After: t.Latest, Life: v.assign(i)})
+		v.hostsSuspect[i] = v.hostsSuspect[i] || len(t.Suspects) > 0
 		scores.Rescore(i)
+		apart.rescore(i)
 		return len(p.placed) < maxPlacements
 	})
 	p.made.AgentsExamined += v.examined - examined
--- a/flow/query.go
+++ b/flow/query.go
@@ -14,7 +14,7 @@
 	switch b.Question.Kind {
 	case notch.QueryWorkflow:
 		if w, ok := s.workflows.Get(b.Question.Name); ok {
-			result.Flow = notch.WorkflowStatus{ID: b.Question.Name, State: w.State}
+			result.Flow = notch.WorkflowStatus{ID: b.Question.Name, State: w.State, Reason: w.Reason}
 		}
 	case notch.QueryPending:
 		result.Pending, _ = s.queuedByRoute.Get(b.Question.Name)
--- a/flow/session.go
+++ b/flow/session.go
@@ -12,19 +12,21 @@
 // agentSession records what the leader has learned about one incarnation of an agent from the
 // answers to its orders.
 type agentSession struct {
-	incarnation      notch.AgentIncarnation
-	token            uint64 // sent with every order to this incarnation
-	lease            lease.AgentLease
-	renewalSentAt    notch.Time // when the lease renewal that isn't answered yet was sent; zero: none
-	lastAnsweredAt   notch.Time // when the latest lease renewal was answered; zero: none was
-	nextRenewalAt    notch.Time // no lease renewal is sent before then
-	unanswered       int        // successive lease renewals that brought no lists of runs and ends
-	proposedUpTo     uint64     // ends up to this position were proposed
-	committedUpTo    uint64     // ends up to this position are committed
-	noRunsBefore     notch.Time // no new runs are placed before then
-	endsProposedAt   notch.Time // when the ends of abandoned runs were last proposed
-	staleOrdersUntil notch.Time // until then, orders to an earlier incarnation may take effect in this one
-	leftAt           notch.Time // when its leave message was committed, or its leader was ready if that was later; zero: it hasn't left
+	incarnation           notch.AgentIncarnation
+	startedAt             notch.Time
+	token                 uint64 // sent with every order to this incarnation
+	lease                 lease.AgentLease
+	renewalSentAt         notch.Time // when the lease renewal that isn't answered yet was sent; zero: none
+	lastAnsweredAt        notch.Time // when the latest lease renewal was answered; zero: none was
+	predecessorAnsweredAt notch.Time // when the incarnation before it last answered this leader; zero: never
+	nextRenewalAt         notch.Time // no lease renewal is sent before then
+	unanswered            int        // successive lease renewals that brought no lists of runs and ends
+	proposedUpTo          uint64     // ends up to this position were proposed
+	committedUpTo         uint64     // ends up to this position are committed
+	noRunsBefore          notch.Time // no new runs are placed before then
+	endsProposedAt        notch.Time // when the ends of abandoned runs were last proposed
+	staleOrdersUntil      notch.Time // until then, orders to an earlier incarnation may take effect in this one
+	leftAt                notch.Time // when its leave message was committed, or its leader was ready if that was later; zero: it hasn't left
 }
 
 // agentClock is a reading of the clock of one incarnation of an agent.
@@ -37,6 +39,7 @@
 type runOrders struct {
 	startOutcome    notch.AgentAnswerKind // empty: the start is not answered yet
 	startAnsweredAt notch.Time            // when startOutcome became known
+	atWorkSince     notch.Time            // when the agent first confirmed or listed it; zero: it didn't yet
 	stopSentAt      notch.Time            // zero: no stop is under way
 	stopAnsweredAt  notch.Time            // when a stop was confirmed; zero: none was
 }
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -33,6 +33,7 @@
 		s.Part = s.withoutReplicatedState().withoutLeaderState()
 		for _, a := range workflows.Agents {
 			s.agents = s.agents.Set(a.ID, a)
+			s.holdAddress(a)
 		}
 		var ended []*graph.Workflow
 		for _, r := range workflows.Flows {
@@ -42,6 +43,7 @@
 				ended = append(ended, w)
 			}
 			s.indexWorkflow(nil, w)
+			s.indexSuspects(w)
 			w.EachRun(func(ref notch.TaskRef, _ notch.WorkflowTask, run notch.Run) {
 				s.addRun(run.Life.Agent, notch.RunRef{Task: ref, Number: run.Number}, &w.Flow.Stages[ref.Stage])
 			})
--- /dev/null
+++ b/flow/suspicion.go
@@ -0,0 +1,199 @@
+package flow
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	notch "tamaracknotch"
+	"tamaracknotch/graph"
+)
+
+// The limits of a task that may crash the agents that start it.
+const (
+	maxSuspectedCrashes = 3                // agents in a row that ended or fell silent under a task that is given up
+	minCertainCrashes   = 2                // of those, agents that have certainly ended
+	probation           = 3 * time.Second  // a run that its agent survives for so long clears its task
+	suspectPause        = 10 * time.Second // between the runs of a task with maxSuspectedCrashes, for its agents to come back
+)
+
+// suspicionAfter judges a run that is abandoned because its agent's incarnation has ended or is
+// silent.
+func (s *stepper) suspicionAfter(session agentSession, placed agentRun) notch.Suspicion {
+	r, ok := s.run(placed.ref)
+	a, known := s.agents.Get(session.incarnation.Agent)
+	if !ok || !known {
+		return notch.SuspicionNone
+	}
+	lastSign := session.lastAnsweredAt
+	if r.Life != session.incarnation {
+		lastSign = session.predecessorAnsweredAt
+	}
+	orders, _ := s.runOrders.Get(placed.ref)
+	announced := a.Draining && a.Incarnation() == r.Life
+	switch {
+	case orders.atWorkSince != 0 && lastSign.Sub(orders.atWorkSince) >= probation:
+		return notch.SuspicionCleared
+	case announced || s.commonCause(a):
+		return notch.SuspicionNone
+	}
+	s.logMessage("suspects a task of crashing its agent", runFields(placed.ref, r.Life.Agent, string(notch.SuspicionRaised))...)
+	return notch.SuspicionRaised
+}
+
+// unfoundedSuspicions returns the withdrawals of the suspicions that an incarnation disproves by its
+// answer: it was silent, but hadn't crashed.
+func (s *stepper) unfoundedSuspicions(session agentSession) []notch.RunEnd {
+	var out []notch.RunEnd
+	tasks, _ := s.suspectedTasks.Get(session.incarnation.Agent)
+	for _, ref := range tasks {
+		if t, ok := s.task(ref); ok && slices.Contains(t.Suspects, session.incarnation) {
+			out = append(out, notch.RunEnd{Run: notch.RunRef{Task: ref}, Suspicion: notch.SuspicionWithdrawn})
+		}
+	}
+	return out
+}
+
+// withdrawSuspicion applies the withdrawal of a suspicion.
+func (s *stepper) withdrawSuspicion(incarnation notch.AgentIncarnation, ref notch.TaskRef, at notch.Time) {
+	s.suspectedTasks = s.suspectedTasks.Delete(incarnation.Agent)
+	w, ok := s.workflows.Get(ref.Flow)
+	if !ok {
+		return
+	}
+	if t, ok := w.Task(ref); ok {
+		s.putWorkflow(w.WithTask(ref, t.WithoutSuspect(incarnation), at))
+	}
+}
+
+// indexSuspect records that an incarnation of an agent is a suspected crash of a task.
+func (s *stepper) indexSuspect(incarnation notch.AgentIncarnation, ref notch.TaskRef) {
+	if s.replaced(incarnation) {
+		return
+	}
+	tasks, _ := s.suspectedTasks.Get(incarnation.Agent)
+	if !slices.Contains(tasks, ref) {
+		s.suspectedTasks = s.suspectedTasks.Set(incarnation.Agent, append(slices.Clip(tasks), ref))
+	}
+}
+
+// successorAdmitted gives up the tasks that certainly crashed too many agents, now that an earlier
+// incarnation is known to have ended.
+func (s *stepper) successorAdmitted(agent string, at notch.Time) {
+	tasks, ok := s.suspectedTasks.Get(agent)
+	if !ok {
+		return
+	}
+	s.suspectedTasks = s.suspectedTasks.Delete(agent)
+	for _, ref := range tasks {
+		w, known := s.workflows.Get(ref.Flow)
+		t, ok := s.task(ref)
+		if !known || !ok || w.State.Ended() {
+			continue
+		}
+		next := s.withJudgedTask(w, ref, t, at)
+		s.putWorkflow(next)
+		if next.State.Ended() {
+			s.stopUnwanted(next)
+		}
+	}
+}
+
+// withJudgedTask returns a workflow with one task replaced, which fails if it crashes its agents.
+func (s *stepper) withJudgedTask(w *graph.Workflow, ref notch.TaskRef, t notch.WorkflowTask, at notch.Time) *graph.Workflow {
+	if !w.MayRun(t) || !s.crashesAgents(t) {
+		return w.WithTask(ref, t, at)
+	}
+	t.State = notch.TaskFailed
+	reason := s.giveUp(ref, t)
+	return w.WithTask(ref, t, at).WithReason(reason)
+}
+
+// giveUp counts and logs that a task is given up, and returns the reason.
+func (s *stepper) giveUp(ref notch.TaskRef, t notch.WorkflowTask) string {
+	var agents []string
+	for _, life := range t.Suspects {
+		agents = append(agents, life.Agent)
+	}
+	s.count("tasks-given-up", 1)
+	if s.leads() {
+		s.logMessage("job failed: a task crashes the agents that start it", notch.TextField("request-id", ref.Flow),
+			notch.TextField("task", ref.String()), notch.TextField("agents", strings.Join(agents, " ")))
+	}
+	return "task " + ref.String() + " crashes the agents that start it: " + strings.Join(agents, ", ")
+}
+
+// crashesAgents reports whether a task is given up because of the agents that crashed under it.
+func (s *stepper) crashesAgents(t notch.WorkflowTask) bool {
+	if len(t.Suspects) < maxSuspectedCrashes {
+		return false
+	}
+	certain := 0
+	for _, life := range t.Suspects {
+		if s.replaced(life) {
+			certain++
+		}
+	}
+	return certain >= minCertainCrashes
+}
+
+// replaced reports whether an incarnation has certainly ended, because a later one has its id or its
+// address.
+func (s *stepper) replaced(incarnation notch.AgentIncarnation) bool {
+	a, ok := s.agents.Get(incarnation.Agent)
+	if !ok {
+		return false
+	}
+	holder, _ := s.addressHolders.Get(a.Address)
+	return a.Born > incarnation.Born || holder.Agent != incarnation.Agent && !precedes(holder, incarnation)
+}
+
+// holdAddress records the holder of an agent's address, and returns the one before.
+func (s *stepper) holdAddress(a notch.Agent) notch.AgentIncarnation {
+	before, ok := s.addressHolders.Get(a.Address)
+	if !ok || precedes(before, a.Incarnation()) {
+		s.addressHolders = s.addressHolders.Set(a.Address, a.Incarnation())
+	}
+	return before
+}
+
+// precedes reports whether a began before b. Two that began in the same millisecond have an order
+// too, so that all replicas agree.
+func precedes(a, b notch.AgentIncarnation) bool {
+	return a.Born < b.Born || a.Born == b.Born && a.Agent < b.Agent
+}
+
+// heldBack reports whether a suspected task waits for its agents to come back before its next run.
+func (s *stepper) heldBack(t notch.WorkflowTask) bool {
+	idle := s.now.Sub(t.Idle)
+	return len(t.Suspects) >= maxSuspectedCrashes && idle >= 0 && idle < suspectPause
+}
+
+// task returns a task of a known workflow.
+func (s *stepper) task(ref notch.TaskRef) (notch.WorkflowTask, bool) {
+	w, ok := s.workflows.Get(ref.Flow)
+	if !ok {
+		return notch.WorkflowTask{}, false
+	}
+	return w.Task(ref)
+}
+
+// hasSuspect reports whether a suspected task on probation runs on an agent.
+func (s *stepper) hasSuspect(load agentLoad) bool {
+	return slices.ContainsFunc(load.runs, func(r agentRun) bool {
+		if s.now.Sub(r.addedAt) >= probation {
+			return false
+		}
+		t, ok := s.task(r.ref.Task)
+		return ok && len(t.Suspects) > 0
+	})
+}
+
+// indexSuspects records the suspected crashes of the tasks of a restored workflow.
+func (s *stepper) indexSuspects(w *graph.Workflow) {
+	w.EachTask(func(ref notch.TaskRef, t notch.WorkflowTask) {
+		for _, life := range t.Suspects {
+			s.indexSuspect(life, ref)
+		}
+	})
+}
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -39,21 +39,22 @@
 	case session.unanswered == 0 || !session.lease.Expired(s.now):
 		return
 	}
-	var refs []notch.RunRef
+	var abandoned []agentRun
 	for _, r := range runs {
 		if !s.mayStillStart(session, r.ref) {
-			refs = append(refs, r.ref)
+			abandoned = append(abandoned, r)
 		}
 	}
-	if len(refs) == 0 {
+	if len(abandoned) == 0 {
 		return
 	}
 	session.endsProposedAt = s.now
 	s.sessions = s.sessions.Set(id, session)
 	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(kind)))
+	slices.SortFunc(abandoned, func(a, b agentRun) int { return compareRunRefs(a.ref, b.ref) })
 	var ends []notch.RunEnd
-	for _, ref := range slices.SortedFunc(slices.Values(refs), compareRunRefs) {
-		ends = append(ends, notch.RunEnd{Run: ref, Kind: kind})
+	for _, r := range abandoned {
+		ends = append(ends, notch.RunEnd{Run: r.ref, Kind: kind, Suspicion: s.suspicionAfter(session, r)})
 	}
 	s.propose(notch.EndRuns{Life: session.incarnation, Ends: ends})
 }
--- a/flow/views.go
+++ b/flow/views.go
@@ -29,6 +29,9 @@
 	limitHit   bool       // only the stage's limit of runs may have kept its tasks from an agent
 	examined   int        // number of times that the placer examined an agent
 	withImages int        // number of agents whose images were added to their views
+
+	hostsSuspect []bool // by agent: this plan placed a suspected task on it
+	apart        bool   // the placer sees only agents without suspected tasks on probation
 }
 
 // candidates are the agents that have gained something since a plan in which a demand fitted on no
@@ -53,7 +56,7 @@
 			v.add(a, session, remembered.agent(id))
 		}
 	}
-	v.hasImages = make([]bool, len(v.agents))
+	v.hasImages, v.hostsSuspect = make([]bool, len(v.agents)), make([]bool, len(v.agents))
 	return v
 }
 
@@ -217,6 +220,9 @@
 		v.addImages(i)
 	}
 	view := &v.agents[i]
+	if v.apart && (v.hostsSuspect[i] || v.s.hasSuspect(v.loads[i])) {
+		return view, false
+	}
 	if v.stage.Label != "" && !slices.Contains(view.Agent.Labels, v.stage.Label) {
 		return view, false
 	}
--- a/graph/graph.go
+++ b/graph/graph.go
@@ -18,6 +18,7 @@
 	At            notch.Time // when it was accepted, by the clock of the leader that proposed it
 	Ended         notch.Time
 	State         notch.WorkflowState
+	Reason        string                  // why it failed, unless runs of a task did
 	groups        *immutable.List[*group] // one for each stage of each round; empty once they were dropped
 	unfinished    int                     // number of tasks that are not done
 	waiting       int                     // number of open tasks without a run
@@ -46,7 +47,7 @@
 
 // Restore returns the workflow of a record.
 func Restore(r notch.WorkflowRecord) *Workflow {
-	w := &Workflow{Flow: r.Flow, At: r.At, Ended: r.Ended, State: r.State, criticalPaths: criticalPaths(r.Flow.Stages)}
+	w := &Workflow{Flow: r.Flow, At: r.At, Ended: r.Ended, State: r.State, Reason: r.Reason, criticalPaths: criticalPaths(r.Flow.Stages)}
 	groups := immutable.NewListBuilder[*group]()
 	for _, row := range r.Tasks {
 		g := restoreGroup(row)
@@ -63,7 +64,7 @@
 
 // Record returns the part of the workflow that snapshots contain.
 func (w *Workflow) Record() notch.WorkflowRecord {
-	out := notch.WorkflowRecord{Flow: w.Flow, At: w.At, Ended: w.Ended, State: w.State}
+	out := notch.WorkflowRecord{Flow: w.Flow, At: w.At, Ended: w.Ended, State: w.State, Reason: w.Reason}
 	for it := w.groups.Iterator(); !it.Done(); {
 		_, g := it.Next()
 		out.Tasks = append(out.Tasks, g.row())
@@ -188,11 +189,28 @@
 	return next.dropUnneeded()
 }
 
+// WithReason returns the workflow with the reason why it failed.
+func (w *Workflow) WithReason(reason string) *Workflow {
+	next := *w
+	next.Reason = reason
+	return &next
+}
+
 // MayRun reports whether a task may have runs.
 func (w *Workflow) MayRun(t notch.WorkflowTask) bool {
 	return !w.State.Ended() && t.State == notch.TaskOpen
 }
 
+// EachTask calls f for every task.
+func (w *Workflow) EachTask(f func(ref notch.TaskRef, t notch.WorkflowTask)) {
+	for g := range w.groups.Len() {
+		for it := w.groups.Get(g).tasks.Iterator(); !it.Done(); {
+			i, t := it.Next()
+			f(w.TaskRef(g, i), *t)
+		}
+	}
+}
+
 // EachRun calls f for every run that isn't known to have ended.
 func (w *Workflow) EachRun(f func(ref notch.TaskRef, t notch.WorkflowTask, r notch.Run)) {
 	if w.liveRuns == 0 {
--- a/message.go
+++ b/message.go
@@ -276,8 +276,9 @@
 // WorkflowStatus is the result of a query about a workflow. Its state is empty if there
 // is no such workflow.
 type WorkflowStatus struct {
-	ID    string
-	State WorkflowState
+	ID     string
+	State  WorkflowState
+	Reason string `cbor:",omitempty"` // why it failed, unless runs of a task did
 }
 
 // EntryStatus describes one entry as the leader knows it.
--- a/workflow.go
+++ b/workflow.go
@@ -120,11 +120,24 @@
 	RunLost           RunEndKind = "lost"    // its agent's incarnation has ended, or no longer knows the run
 )
 
+// Suspicion is what the end of a run tells about whether its task crashes the agents that
+// start it.
+type Suspicion string
+
+// The kinds of suspicion.
+const (
+	SuspicionNone      Suspicion = ""
+	SuspicionRaised    Suspicion = "raised"    // the agent ended or fell silent soon after it may have started the run
+	SuspicionCleared   Suspicion = "cleared"   // the agent survived the run
+	SuspicionWithdrawn Suspicion = "withdrawn" // the agent that fell silent answers again; the run ended before
+)
+
 // RunEnd is the end of one run.
 type RunEnd struct {
-	Run   RunRef
-	Kind  RunEndKind
-	Saved string // last checkpoint; empty: none is known
+	Run       RunRef
+	Kind      RunEndKind
+	Saved     string    // last checkpoint; empty: none is known
+	Suspicion Suspicion `cbor:",omitempty"`
 }
 
 // ListedEnd is an end in the list that an agent keeps until the ends are
@@ -220,6 +233,27 @@
 	Failures int    // number of runs that failed
 	Saved    string // checkpoint of the latest run end that reported one; empty: none
 	Idle     Time   // when its latest run ended or, before its first run, when the workflow was accepted
+
+	// Suspects lists the incarnations of agents that ended or fell silent soon after they may
+	// have started a run of the task, since an agent last survived one.
+	Suspects []AgentIncarnation `cbor:",omitempty"`
+}
+
+// WithSuspicion returns t with what the end of a run on an incarnation of an agent tells.
+func (t WorkflowTask) WithSuspicion(s Suspicion, incarnation AgentIncarnation) WorkflowTask {
+	switch {
+	case s == SuspicionCleared:
+		t.Suspects = nil
+	case s == SuspicionRaised && !slices.Contains(t.Suspects, incarnation):
+		t.Suspects = append(slices.Clip(t.Suspects), incarnation)
+	}
+	return t
+}
+
+// WithoutSuspect returns t without a suspected crash.
+func (t WorkflowTask) WithoutSuspect(incarnation AgentIncarnation) WorkflowTask {
+	t.Suspects = slices.DeleteFunc(slices.Clone(t.Suspects), func(i AgentIncarnation) bool { return i == incarnation })
+	return t
 }
 
 // WithRun returns t with one more run.
@@ -253,4 +287,6 @@
 	Ended Time
 	State WorkflowState
 	Tasks [][]WorkflowTask // one row for each stage of each round; columns by the index of the task
+
+	Reason string `cbor:",omitempty"` // why it failed, unless runs of a task did
 }
