--- a/fake/crashtask_test.go
+++ b/fake/crashtask_test.go
@@ -60,19 +60,33 @@
 	}
 }
 
+// outages are what happens to the control replicas while a task crashes its agents.
+var outages = map[string]func(t *testing.T, w *workflowTest){
+	"leader killed": func(t *testing.T, w *workflowTest) { w.Kill(w.leader(t)) },
+	"all replicas restarted": func(t *testing.T, w *workflowTest) {
+		for _, n := range w.replicas {
+			w.Kill(n)
+		}
+		w.Run(time.Second)
+		for _, n := range w.replicas {
+			w.Start(n)
+		}
+	},
+}
+
 // A task crashed one agent after another until the end of the day, as no run that ended with its
 // agent's incarnation counted against the task.
 func TestTaskThatCrashesItsAgentsIsGivenUp(t *testing.T) {
 	stages := map[string]notch.Stage{"short": {Count: 1}, "long-running": {Count: 1, Lasts: true}, "several": {Count: 6}}
 	for name, st := range stages {
-		for _, newID := range []bool{false, true} {
+		for outageName, outage := range outages {
 			for seed := range uint64(4) {
-				t.Run(fmt.Sprintf("%s, new id %v, seed %d", name, newID, seed+1), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s, %s, seed %d", name, outageName, seed+1), func(t *testing.T) {
 					t.Parallel()
-					w := newCrashTest(t, seed+1, newID)
+					w := newCrashTest(t, seed+1, seed%2 == 0)
 					w.submitOne(crashingFlow, st)
 					w.submitNeighbours(10 * time.Second)
-					w.Kill(w.leader(t))
+					outage(t, w)
 					w.submitNeighbours(30 * time.Second)
 					w.Run(30 * time.Second)
 					w.checkStates(t, notch.WorkflowFailed)
--- a/flow/suspicion.go
+++ b/flow/suspicion.go
@@ -37,7 +37,10 @@
 	case announced || s.commonCause(a):
 		return notch.SuspicionNone
 	}
-	s.logMessage("suspects a task of crashing its agent", runFields(placed.ref, r.Life.Agent, string(notch.SuspicionRaised))...)
+	if t, _ := s.task(placed.ref.Task); len(t.Suspects) > 0 {
+		s.logMessage("suspects a task of crashing its agent again", append(runFields(placed.ref, r.Life.Agent, string(notch.SuspicionRaised)),
+			notch.IntField("agents", len(t.Suspects)+1))...)
+	}
 	return notch.SuspicionRaised
 }
 
