Suspicion: note only recent runs as at work

Agents list all runs each second; a look-up for each listed run costs the leader time that only recent runs need. An older run that was never confirmed counts as not at work, which at worst suspects its task once.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -244,10 +244,7 @@
 		s.stopRun(a, l.Run)
 		return
 	}
-	if orders, _ := s.runOrders.Get(l.Run); orders.atWorkSince == 0 {
-		orders.atWorkSince = s.now
-		s.runOrders = s.runOrders.Set(l.Run, orders)
-	}
+	s.noteAtWork(l.Run, r)
 }
 
 // endsCommitted acknowledges an agent's ends after they were committed.
--- a/flow/suspicion.go
+++ b/flow/suspicion.go
@@ -14,6 +14,7 @@
 	maxSuspectedCrashes = 3                // agents in a row that ended or fell silent under a task that is given up
 	minCertainCrashes   = 2                // of those, agents that have certainly ended
 	probation           = 3 * time.Second  // a run that its agent survives for so long clears its task
+	noteWithin          = 2 * probation    // since the placement or the leader's election, in which a listed run is noted as at work
 	suspectPause        = 10 * time.Second // between the runs of a task with maxSuspectedCrashes, for its agents to come back
 )
 
@@ -44,6 +45,18 @@
 	return notch.SuspicionRaised
 }
 
+// noteAtWork records when an agent first listed a run as live. It looks only at recent runs, as
+// agents list all runs each second.
+func (s *stepper) noteAtWork(ref notch.RunRef, r notch.Run) {
+	if s.now.Sub(r.Since) >= noteWithin && s.now.Sub(s.leadership.Ready) >= noteWithin {
+		return
+	}
+	if orders, _ := s.runOrders.Get(ref); orders.atWorkSince == 0 {
+		orders.atWorkSince = s.now
+		s.runOrders = s.runOrders.Set(ref, orders)
+	}
+}
+
 // unfoundedSuspicions returns the withdrawals of the suspicions that an incarnation disproves by its
 // answer: it was silent, but hadn't crashed.
 func (s *stepper) unfoundedSuspicions(session agentSession) []notch.RunEnd {
