--- a/flow/lists.go
+++ b/flow/lists.go
@@ -11,6 +11,9 @@
 func (s *stepper) renewalAnswered(session agentSession, b notch.AgentAnswered) {
 	session.renewalSentAt = 0
 	a, _ := s.agents.Get(session.incarnation.Agent)
+	if b.Answer.Kind != notch.AgentOK && session.unanswered == 0 {
+		s.recordLoss(a)
+	}
 	switch {
 	case b.Answer.Kind == notch.AgentWrongIncarnation:
 		session.unanswered++
@@ -45,6 +48,7 @@
 	session.unanswered, session.lastAnsweredAt = 0, s.now
 	endsOfMissing, missing := s.endsOfMissingRuns(session, a, b)
 	ends, session.missesRuns = append(ends, endsOfMissing...), missing
+	ends = append(ends, s.unfoundedSuspicions(session)...)
 	for _, l := range b.Answer.Live {
 		s.checkLiveRun(session, a, l)
 	}
@@ -131,6 +135,9 @@
 			continue
 		}
 		upTo = max(upTo, l.N)
+		if t, ok := s.task(l.End.Run.Task); ok && len(t.Suspects) > 0 {
+			l.End.Suspicion = notch.SuspicionCleared
+		}
 		if _, ok := s.run(l.End.Run); ok || s.doneAfterAbandoned(l.End) {
 			out = append(out, l.End)
 		}
@@ -185,7 +192,11 @@
 			undecided = true
 			continue
 		}
-		out = append(out, notch.RunEnd{Run: ref, Kind: kind})
+		end := notch.RunEnd{Run: ref, Kind: kind}
+		if r.Life != session.incarnation {
+			end.Suspicion = s.suspicionAfter(session, run)
+		}
+		out = append(out, end)
 		s.logMessage("run given up: its agent doesn't list it", runFields(ref, a.ID, string(kind))...)
 	}
 	return out, undecided
@@ -231,7 +242,9 @@
 		s.stopRun(a, l.Run)
 		return
 	}
+	r, _ := s.run(l.Run)
 	s.confirmStart(l.Run)
+	s.noteAtWork(l.Run, r)
 }
 
 // whyUnwanted returns why an incarnation of an agent shouldn't have a run; empty if it should.
