Log runs that an agent lists though it shouldn't have them

Whether a late order reaches the next incarnation of an agent couldn't be seen: a run that is listed by an incarnation on which it wasn't placed was stopped without a line, like one that was given up or whose task has ended. The line names the run, the agent and which of these it is.

It doesn't show that late orders can't reach the next incarnation: 103 ids of agents are named in the log of 48 machines, so that most came back under another id, and how many did under the same isn't logged.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -222,16 +222,29 @@
 // checkLiveRun stops a run that an agent lists as live if the run isn't known or isn't wanted
 // any more.
 func (s *stepper) checkLiveRun(session agentSession, a notch.Agent, l notch.LiveRun) {
-	w, ok := s.workflows.Get(l.Run.Task.Flow)
-	if !ok {
+	if reason := s.whyUnwanted(session, l.Run); reason != "" {
+		s.logMessage("a run that shouldn't be live is stopped", runFields(l.Run, a.ID, reason)...)
 		s.stopRun(a, l.Run)
-		return
 	}
-	t, _ := w.Task(l.Run.Task)
-	r, ok := t.Run(l.Run.Number)
-	if !ok || r.Life != session.incarnation || !w.MayRun(t) {
-		s.stopRun(a, l.Run)
+}
+
+// whyUnwanted returns why an incarnation of an agent shouldn't have a run; empty if it should.
+func (s *stepper) whyUnwanted(session agentSession, ref notch.RunRef) string {
+	w, ok := s.workflows.Get(ref.Task.Flow)
+	if !ok {
+		return "its workflow isn't known"
+	}
+	t, _ := w.Task(ref.Task)
+	r, ok := t.Run(ref.Number)
+	switch {
+	case !ok:
+		return "it was given up or has ended"
+	case r.Life != session.incarnation:
+		return "it was placed on another incarnation"
+	case !w.MayRun(t):
+		return "its task has ended"
 	}
+	return ""
 }
 
 // endsCommitted acknowledges an agent's ends after they were committed.
