Stand-in: late orders reach the next incarnation of an agent

The stand-in dropped an order that is carried out late when the incarnation that got it ended. Orders name the agent by its id, which the next incarnation may have, too, so that nothing keeps a late one from it. Now whichever incarnation is up carries it out.

--- a/fake/agent.go
+++ b/fake/agent.go
@@ -164,13 +164,12 @@
 		reply = func(notch.AgentAnswer) {}
 	}
 	s.After(agentNetworkDelay, func() {
-		// An order that is delayed at an agent is dropped when the incarnation ends.
-		generation := a.generation
 		if !a.Up || a.CutOff {
 			return
 		}
+		// An order names the agent, not its incarnation: if it is delayed, a later one may carry it out.
 		s.After(delay, func() {
-			if a.generation == generation {
+			if a.Up {
 				s.executeOrder(a, f.Order, reply)
 			}
 		})
