Suspicion: a rack of three agents is too small for a common cause

Weighed and tried: excusing only runs that were seen at work after their start, which gives up 39 to 93 innocent tasks where a rack loses power again and again.

--- a/flow/losses.go
+++ b/flow/losses.go
@@ -10,7 +10,7 @@
 // The losses of agents that have a common cause, such as a rack that lost power.
 const (
 	commonCauseWindow = 2500 * time.Millisecond // within which they are noticed: a long poll and the timeout of its answer
-	minCommonLosses   = 3                       // fewer agents may end together by chance
+	minCommonLosses   = 4                       // fewer agents may end together by chance
 	lossesPerSurvivor = 3                       // more agents are lost for each one of their rack or failure domain that isn't
 )
 
