An agent that flaps doesn't make its tasks guilty

A task that was placed three times on one agent that crashes again and again was taken for the cause, and its job failed.

Three agents at different addresses now have to crash under a task, or five times any. A suspected task avoids the agents that crashed under it while another one has room, so a guilty one still reaches three different agents.

--- a/flow/apart.go
+++ b/flow/apart.go
@@ -14,8 +14,25 @@
 	scores notch.AgentScores // nil: none was needed yet
 }
 
-// next returns the index of the best agent, or -1 if there is none.
-func (a *apartScores) next(waited time.Duration, seed uint64) int {
+// next returns the index of the best agent for a task, or -1 if there is none. An agent that crashed
+// under the task before is chosen only if no other one has room: it may crash for a reason of its own.
+func (a *apartScores) next(t notch.WorkflowTask, waited time.Duration, seed uint64) int {
+	i := a.nextApart(waited, seed)
+	if i >= 0 && !a.views.hasCrashedUnder(i, t) {
+		return i
+	}
+	a.views.avoidedBy = &t
+	defer func() { a.views.avoidedBy, a.views.apart = nil, false }()
+	for _, a.views.apart = range []bool{true, false} {
+		if i = a.score().Next(waited, seed); i >= 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// nextApart returns the index of the best agent without a suspected task, or -1.
+func (a *apartScores) nextApart(waited time.Duration, seed uint64) int {
 	a.views.apart = true
 	defer func() { a.views.apart = false }()
 	if a.scores == nil {
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -154,7 +154,7 @@
 		}
 		i := -1
 		if len(t.Suspects) > 0 {
-			i = apart.next(waited, seed)
+			i = apart.next(t, waited, seed)
 		}
 		if i < 0 {
 			i = scores.Next(waited, seed)
--- a/flow/suspicion.go
+++ b/flow/suspicion.go
@@ -12,6 +12,7 @@
 // The limits of a task that may crash the agents that start it.
 const (
 	maxSuspectedCrashes = 3                // agents in a row that ended or fell silent under a task that is given up
+	maxRepeatedCrashes  = 5                // the same, where an agent did so more than once
 	minCertainCrashes   = 2                // of those, agents that have certainly ended
 	probation           = 3 * time.Second  // a run that its agent survives for so long clears its task
 	noteWithin          = 2 * probation    // since the placement or the leader's election, in which a listed run is noted as at work
@@ -139,18 +140,28 @@
 	return "task " + ref.String() + " crashes the agents that start it: " + strings.Join(agents, ", ")
 }
 
-// crashesAgents reports whether a task is given up because of the agents that crashed under it.
+// crashesAgents reports whether a task is given up because of the agents that crashed under it. One
+// agent that crashes again and again proves less than several: it may do so for a reason of its own.
 func (s *stepper) crashesAgents(t notch.WorkflowTask) bool {
-	if len(t.Suspects) < maxSuspectedCrashes {
-		return false
-	}
-	certain := 0
+	certain, addresses := 0, map[string]bool{}
 	for _, life := range t.Suspects {
+		addresses[s.addressOf(life)] = true
 		if s.replaced(life) {
 			certain++
 		}
 	}
-	return certain >= minCertainCrashes
+	crashes := max(len(addresses), len(t.Suspects)-(maxRepeatedCrashes-maxSuspectedCrashes))
+	return crashes >= maxSuspectedCrashes && certain >= minCertainCrashes
+}
+
+// addressOf returns the address of an incarnation's agent, which its successor under another id has
+// as well.
+func (s *stepper) addressOf(incarnation notch.AgentIncarnation) string {
+	a, ok := s.agents.Get(incarnation.Agent)
+	if !ok {
+		return incarnation.Agent
+	}
+	return a.Address
 }
 
 // replaced reports whether an incarnation has certainly ended, because a later one has its id or its
--- a/flow/views.go
+++ b/flow/views.go
@@ -32,6 +32,8 @@
 
 	hostsSuspect []bool // by agent: this plan placed a suspected task on it
 	apart        bool   // the placer sees only agents without suspected tasks on probation
+
+	avoidedBy *notch.WorkflowTask // the placer sees only agents that haven't crashed under this task; nil: all
 }
 
 // candidates are the agents that have gained something since a plan in which a demand fitted on no
@@ -223,6 +225,9 @@
 	if v.apart && (v.hostsSuspect[i] || v.s.hasSuspect(v.loads[i])) {
 		return view, false
 	}
+	if v.avoidedBy != nil && v.hasCrashedUnder(i, *v.avoidedBy) {
+		return view, false
+	}
 	if v.stage.Label != "" && !slices.Contains(view.Agent.Labels, v.stage.Label) {
 		return view, false
 	}
@@ -233,6 +238,12 @@
 	return view, true
 }
 
+// hasCrashedUnder reports whether agent i, or an earlier one at its address, may have crashed under a task.
+func (v *agentViews) hasCrashedUnder(i int, t notch.WorkflowTask) bool {
+	address := v.agents[i].Agent.Address
+	return slices.ContainsFunc(t.Suspects, func(life notch.AgentIncarnation) bool { return v.s.addressOf(life) == address })
+}
+
 // assign adds a task of the current stage to agent i and returns the agent's incarnation.
 func (v *agentViews) assign(i int) notch.AgentIncarnation {
 	view := &v.agents[i]
