Simulator: disks that stall or are slow

A disk may have its own duration of a sync, and a time before which no sync completes; scripts set them with diskslow and diskstall. Syncs still complete in the order in which they began.

--- a/drive/disk.go
+++ b/drive/disk.go
@@ -15,12 +15,16 @@
 	Failing bool // syncs fail; Start clears it
 	Full    bool // syncs fail while it is set, and are repeated
 
+	SyncTime     time.Duration // duration of a sync; zero: that of the network of the simulator
+	StalledUntil time.Duration // no sync completes before this virtual time
+
 	hardState    notch.HardState
 	snapshot     *notch.Snapshot
 	entries      []notch.LogEntry
 	pendingSyncs int            // syncs that have not completed
 	waiting      []notch.Effect // syncs that found the disk full, and those after them
 	crashCount   int            // syncs that began before the latest crash are dropped
+	lastSyncAt   time.Duration  // virtual time at which the last sync completes
 }
 
 // NewDisk returns an empty disk. Storage is the identity of its data folder.
@@ -45,7 +49,7 @@
 // DropPending discards the writes that are not synced.
 func (d *Disk) DropPending() {
 	d.crashCount++
-	d.pendingSyncs, d.waiting = 0, nil
+	d.pendingSyncs, d.waiting, d.lastSyncAt = 0, nil, 0
 }
 
 // apply makes a synced disk effect part of the content.
@@ -71,7 +75,7 @@
 	d := n.Disk
 	crashes := d.crashCount
 	d.pendingSyncs++
-	sim.After(sim.Net.SyncTime, func() {
+	sim.After(sim.syncEnd(d)-sim.now, func() {
 		if d.crashCount != crashes || !n.Up {
 			return
 		}
@@ -88,6 +92,13 @@
 	})
 }
 
+// syncEnd returns the virtual time at which a sync that begins now completes.
+func (sim *Simulator) syncEnd(d *Disk) time.Duration {
+	end := sim.now + cmp.Or(d.SyncTime, sim.Net.SyncTime)
+	d.lastSyncAt = max(end, d.StalledUntil, d.lastSyncAt)
+	return d.lastSyncAt
+}
+
 // syncRetryPeriod is the interval in which syncs are repeated on a full disk, the same as in the
 // engine.
 const syncRetryPeriod = 200 * time.Millisecond
--- a/script/control.go
+++ b/script/control.go
@@ -33,6 +33,18 @@
 
 func (r *scriptState) diskFull(args []string) { r.node(args[0]).Disk.Full = isYes(args[1]) }
 
+// stallDisk lets no sync of a daemon's disk complete for a time.
+func (r *scriptState) stallDisk(args []string) {
+	r.node(args[0]).Disk.StalledUntil = r.Now() + r.duration(args[1])
+}
+
+// slowDisk sets the duration of the syncs of daemons' disks.
+func (r *scriptState) slowDisk(args []string) {
+	for _, name := range args[1:] {
+		r.node(name).Disk.SyncTime = r.duration(args[0])
+	}
+}
+
 func (r *scriptState) failSync(args []string) { r.node(args[0]).Disk.Failing = true }
 
 // stopDaemon stops a daemon gracefully: it starts its shutdown and is killed 300 ms
--- a/script/script.go
+++ b/script/script.go
@@ -94,6 +94,8 @@
 		"crash":     {"NAME...: crashes daemons", 1, (*scriptState).killAll},
 		"wipe":      {"NAME: empties the disk of a stopped daemon", 1, (*scriptState).wipe},
 		"diskfull":  {"NAME yes|no: sets whether the daemon's disk has no room", 2, (*scriptState).diskFull},
+		"diskstall": {"NAME DURATION: no sync of the daemon's disk completes for that time", 2, (*scriptState).stallDisk},
+		"diskslow":  {"DURATION NAME...: sets the duration of a sync of the daemons' disks", 2, (*scriptState).slowDisk},
 		"failsync":  {"NAME: makes the daemon's syncs fail until its next start", 1, (*scriptState).failSync},
 		"halt":      {"NAME: stops a daemon gracefully", 1, (*scriptState).stopDaemon},
 		"cut":       {"A B: cuts the link between two daemons in both directions", 2, (*scriptState).cutBoth},
