A candidate waits for its own vote and as long for the others'

Callers got no answers: with one disk that stalls for 4 s, or with all disks slow, the replicas had no leader for the whole stall or for good. A candidate campaigned again after a third of an election timeout whether its own vote was synced or not. Each time it raised its term, and the others' leader stepped down on the rejection with that term; with syncs of 200 ms and more no vote came back before the candidate had given its term up. The pre-votes that followed a failed handover were marked as part of it, so the others granted them though they heard a leader.

A candidate now campaigns again only when its own vote is synced, and counts no quorum before that. From then on it waits for the others' votes by twice the time that its own took, by two election timeouts at most. Only the election that the leader asked for is marked as a handover.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -86,6 +86,7 @@
 	leader         string
 	votes          []string // names of the voters that granted their vote
 	electionDue    notch.Time
+	campaignedAt   notch.Time // when the last pre-vote or election began
 	lastHeardAt    notch.Time // when a leader's message last arrived
 	lastTickAt     notch.Time // zero before the first tick
 	transferTarget bool       // the leader asked this replica to take over
@@ -278,7 +279,7 @@
 	if s.electionDue == 0 {
 		s.resetElection()
 	}
-	if s.now.Before(s.electionDue) || !s.isVoter() || s.stopping || s.journalFailing() {
+	if s.now.Before(s.electionDue) || !s.isVoter() || s.stopping || s.journalFailing() || s.awaitsOwnVote() {
 		return
 	}
 	s.campaign(rolePreCandidate)
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	notch "tamaracknotch"
 )
@@ -50,15 +51,21 @@
 // campaignTimeoutDivisor shortens the election timeout of a replica that campaigns.
 const campaignTimeoutDivisor = 3
 
+// syncsPerVote is the number of syncs for which a vote may have to wait.
+const syncsPerVote = 2
+
+// maxVoteTimeouts is the number of election timeouts for which a candidate waits for the syncs of the
+// others' votes at most.
+const maxVoteTimeouts = 2
+
 // campaign starts a pre-vote or an election.
 func (s *stepper) campaign(r role) {
 	s.role = r
 	s.votes = nil
-	s.resetElection()
-	// A replica that campaigns retries sooner than a follower times out. It has to
-	// campaign again after a split vote, and after a pre-vote that the others
-	// rejected because their election timeout hadn't passed yet.
-	s.electionDue = s.now.Add(s.electionDue.Sub(s.now) / campaignTimeoutDivisor)
+	s.campaignedAt = s.now
+	// Only the election that the leader has asked for may depose it, not those after it.
+	s.transferTarget = s.transferTarget && r == roleCandidate
+	s.resetCampaign(0)
 	s.setLeader("")
 	term := s.hardState.Term + 1
 	if r == roleCandidate {
@@ -82,6 +89,28 @@
 	s.effects = append(s.effects, notch.Persist{Hard: s.hardState, Then: then})
 }
 
+// resetCampaign restarts the timeout after which a replica that campaigns does so again. The timeout is
+// shorter than a follower's: the replica has to campaign again after a split vote, and after a
+// pre-vote that the others rejected because their election timeout hadn't passed yet. The others may
+// take syncTime to sync their votes.
+func (s *stepper) resetCampaign(syncTime time.Duration) {
+	s.resetElection()
+	s.electionDue = s.now.Add(s.electionDue.Sub(s.now)/campaignTimeoutDivisor + syncTime)
+}
+
+// awaitsOwnVote reports whether the replica is a candidate whose own vote isn't synced. Its requests
+// wait for the same sync, so another election would only raise the term and depose the others' leader.
+func (s *stepper) awaitsOwnVote() bool {
+	return s.role == roleCandidate && !slices.Contains(s.votes, s.self.Name)
+}
+
+// onOwnVote gives the others as long for their votes as the candidate took for its own. A vote may have
+// to wait for the sync before it.
+func (s *stepper) onOwnVote() {
+	syncTime := syncsPerVote * s.now.Sub(s.campaignedAt)
+	s.resetCampaign(min(syncTime, maxVoteTimeouts*s.timing.ElectionTimeout))
+}
+
 func (s *stepper) broadcast(m notch.Message) {
 	for _, v := range s.otherVoters() {
 		s.send(v.Name, m)
@@ -153,10 +182,13 @@
 	if s.role != want || m.Term != term || !slices.Contains(s.replicaSet().Voters, m.Voter) {
 		return
 	}
+	if s.awaitsOwnVote() && m.Voter == s.self {
+		s.onOwnVote()
+	}
 	if !slices.Contains(s.votes, m.Voter.Name) {
 		s.votes = append(slices.Clone(s.votes), m.Voter.Name)
 	}
-	if len(s.votes) < quorum(s.replicaSet()) {
+	if len(s.votes) < quorum(s.replicaSet()) || s.awaitsOwnVote() {
 		return
 	}
 	if s.role == rolePreCandidate {
