--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -76,6 +76,8 @@
 	snapshot       *notch.Snapshot
 	configs        []configAt // in ascending order; the last one is in force
 	persistedIndex uint64     // last entry synced on this replica
+	lastWrite      uint64     // number of the last write that the journal was given
+	validWrite     uint64     // number of the first write whose entries the log has kept
 	commitIndex    uint64
 	appliedIndex   uint64     // last entry passed to the other parts
 	reducedIndex   uint64     // last entry that the parts have begun to apply
@@ -328,6 +330,7 @@
 // it only up to the commit index before.
 func (s *stepper) restoreSnapshot(snap notch.Snapshot) {
 	s.persistedIndex = min(s.persistedIndex, s.commitIndex)
+	s.validWrite = s.lastWrite + 1
 	s.snapshot = &snap
 	s.log = newLogAt(snap.Index, snap.Term)
 	s.configs = []configAt{{index: snap.Index, set: snap.Replicas}}
@@ -335,9 +338,18 @@
 	s.emit(notch.Restored{Snapshot: snap})
 }
 
+// persist passes the hard state and entries to the journal, which sends the messages once they are
+// synced.
+func (s *stepper) persist(entries []notch.LogEntry, then ...notch.Send) {
+	s.lastWrite++
+	s.effects = append(s.effects, notch.Persist{Hard: s.hardState, Entries: entries, Then: then, Write: s.lastWrite})
+}
+
+// onPersisted counts the entries of a write as synced, unless the log has lost some of them since: even
+// if it holds the same entries again, a later write first removes them from the disk.
 func (s *stepper) onPersisted(b notch.Persisted) {
-	if s.log.term(b.Index) != b.Term {
-		return // the entry was replaced after it was passed to the journal
+	if b.Write < s.validWrite || s.log.term(b.Index) != b.Term {
+		return
 	}
 	s.persistedIndex = max(s.persistedIndex, b.Index)
 	if s.role == roleLeader {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -15,7 +15,7 @@
 	}
 	s.hardState = notch.HardState{Term: term}
 	s.stepDown("")
-	s.effects = append(s.effects, notch.Persist{Hard: s.hardState})
+	s.persist(nil)
 	return true
 }
 
@@ -86,7 +86,7 @@
 	for _, v := range s.otherVoters() {
 		then = append(then, notch.Send{To: v.Name, Message: req})
 	}
-	s.effects = append(s.effects, notch.Persist{Hard: s.hardState, Then: then})
+	s.persist(nil, then...)
 }
 
 // resetCampaign restarts the timeout after which a replica that campaigns does so again. The timeout is
@@ -144,7 +144,7 @@
 		s.hardState = s.hardState.WithVote(m.Candidate.Name)
 		s.resetElection()
 	}
-	s.effects = append(s.effects, notch.Persist{Hard: s.hardState, Then: []notch.Send{{To: m.Candidate.Name, Message: reply}}})
+	s.persist(nil, notch.Send{To: m.Candidate.Name, Message: reply})
 }
 
 // grantsVote reports whether the replica grants the vote that m requests.
--- a/consensus/follow.go
+++ b/consensus/follow.go
@@ -29,7 +29,7 @@
 		reply.Match = min(match, s.persistedIndex)
 		s.send(m.Leader, reply)
 	case len(missing) > 0 || match > s.persistedIndex:
-		s.effects = append(s.effects, notch.Persist{Hard: s.hardState, Entries: missing, Then: []notch.Send{{To: m.Leader, Message: reply}}})
+		s.persist(missing, notch.Send{To: m.Leader, Message: reply})
 	default:
 		s.send(m.Leader, reply)
 	}
@@ -71,6 +71,7 @@
 func (s *stepper) truncateFrom(index uint64) {
 	s.log = s.log.withoutSuffix(index)
 	s.persistedIndex = min(s.persistedIndex, index-1)
+	s.validWrite = s.lastWrite + 1
 	keep := slices.IndexFunc(s.configs, func(c configAt) bool { return c.index >= index })
 	if keep >= 0 {
 		s.configs = slices.Clone(s.configs[:keep])
@@ -92,7 +93,6 @@
 	}
 	s.restoreSnapshot(m.Snapshot)
 	s.emitReplicas()
-	s.effects = append(s.effects,
-		notch.Persist{Hard: s.hardState},
-		notch.SaveSnapshot{Snapshot: m.Snapshot, KeepFrom: m.Snapshot.Index, Replace: true, Then: []notch.Send{{To: m.Leader, Message: reply}}})
+	s.persist(nil)
+	s.effects = append(s.effects, notch.SaveSnapshot{Snapshot: m.Snapshot, KeepFrom: m.Snapshot.Index, Replace: true, Then: []notch.Send{{To: m.Leader, Message: reply}}})
 }
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -75,7 +75,7 @@
 	}
 	s.unflushed = false
 	from := max(s.firstUnpersisted(), s.log.base+1)
-	s.effects = append(s.effects, notch.Persist{Hard: s.hardState, Entries: s.log.slice(from, int(s.log.lastIndex()-from+1))})
+	s.persist(s.log.slice(from, int(s.log.lastIndex()-from+1)))
 	s.sentToJournalIndex = s.log.lastIndex()
 }
 
--- a/drive/disk.go
+++ b/drive/disk.go
@@ -138,7 +138,7 @@
 		}
 		if k := len(f.Entries); k > 0 {
 			last := f.Entries[k-1]
-			sim.Post(n, notch.Persisted{Term: last.Term, Index: last.Index})
+			sim.Post(n, notch.Persisted{Write: f.Write, Term: last.Term, Index: last.Index})
 		}
 	case notch.SaveSnapshot:
 		for _, m := range f.Then {
--- a/effect.go
+++ b/effect.go
@@ -34,6 +34,7 @@
 	Hard    HardState
 	Entries []LogEntry
 	Then    []Send
+	Write   uint64 // number of the write; ascending from 1 while the process runs
 }
 
 // SaveSnapshot writes a snapshot to disk, syncs it, and drops the log segments
--- a/engine/journaler.go
+++ b/engine/journaler.go
@@ -135,7 +135,7 @@
 	for _, r := range slices.Backward(records) {
 		if n := len(r.Entries); n > 0 {
 			last := r.Entries[n-1]
-			post(notch.Persisted{Term: last.Term, Index: last.Index})
+			post(notch.Persisted{Write: r.Write, Term: last.Term, Index: last.Index})
 			return
 		}
 	}
--- a/engine/journaler_test.go
+++ b/engine/journaler_test.go
@@ -12,12 +12,12 @@
 // sync of the entries that they replaced was reported under the new term.
 func TestPersistedHasTermOfEntry(t *testing.T) {
 	records := []notch.Persist{
-		{Hard: notch.HardState{Term: 1}, Entries: []notch.LogEntry{{Index: 2, Term: 1}}},
-		{Hard: notch.HardState{Term: 2}},
+		{Write: 1, Hard: notch.HardState{Term: 1}, Entries: []notch.LogEntry{{Index: 2, Term: 1}}},
+		{Write: 2, Hard: notch.HardState{Term: 2}},
 	}
 	var got notch.Body
 	acknowledge(records, func(b notch.Body) { got = b }, func(notch.Send) {})
-	if want := (notch.Persisted{Term: 1, Index: 2}); got != want {
+	if want := (notch.Persisted{Write: 1, Term: 1, Index: 2}); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
@@ -43,9 +43,9 @@
 	j := &fullJournal{failures: 2}
 	posted := make(chan notch.Body, 10)
 	w := newJournaler(j, &fixedClock{}, func(b notch.Body) { posted <- b }, func(notch.Send) {})
-	w.put(notch.Persist{Entries: []notch.LogEntry{{Index: 2, Term: 1}}})
+	w.put(notch.Persist{Write: 1, Entries: []notch.LogEntry{{Index: 2, Term: 1}}})
 	for _, want := range []notch.Body{
-		notch.JournalFailing{Reason: "no space left", Waiting: 1}, notch.JournalRecovered{}, notch.Persisted{Term: 1, Index: 2},
+		notch.JournalFailing{Reason: "no space left", Waiting: 1}, notch.JournalRecovered{}, notch.Persisted{Write: 1, Term: 1, Index: 2},
 	} {
 		if got := <-posted; got != want {
 			t.Errorf("got %+v, want %+v", got, want)
--- a/event.go
+++ b/event.go
@@ -45,9 +45,10 @@
 	Entries  []LogEntry
 }
 
-// Persisted reports that the log is synced up to the entry at Index, which has the
-// given Term.
+// Persisted reports that the write with the given number is synced, and all before it. The last of its
+// entries is the one at Index, which has the given Term.
 type Persisted struct {
+	Write uint64
 	Term  uint64
 	Index uint64
 }
--- a/experiment/controlcosts.go
+++ b/experiment/controlcosts.go
@@ -222,7 +222,7 @@
 		}
 	}
 	if n := len(p.Entries); n > 0 {
-		for _, f := range d.step(notch.Persisted{Term: p.Entries[n-1].Term, Index: p.Entries[n-1].Index}) {
+		for _, f := range d.step(notch.Persisted{Write: p.Write, Term: p.Entries[n-1].Term, Index: p.Entries[n-1].Index}) {
 			completePersist(d, f)
 		}
 	}
