A learner's silence counts from when it was added

The leader removed and added a replica whose disk was full again and again: each change went through the log, one every 13 ms, and callers' commands shared the log with them. A learner that had never answered counted as silent since the leader's election. With a leader in office for 30 s it was removed as soon as the change that added it was committed, and added again as soon as that was.

The silence of a replica that hasn't answered now counts from when the leader began to send to it: from its election for those that were in the set, otherwise from the change that added it.

--- a/consensus/autosize.go
+++ b/consensus/autosize.go
@@ -75,12 +75,13 @@
 }
 
 // silentFor returns the time since the leader sent the latest message that r answered, or
-// since its election if r has answered none. It is zero for the leader and for a replica
+// since it began to send to r if r has answered none. It is zero for the leader and for a replica
 // outside the set.
 func (s *stepper) silentFor(r notch.Replica) time.Duration {
 	i := s.progressIndex(r)
 	if i < 0 || r == s.self {
 		return 0
 	}
-	return s.now.Sub(max(s.progress[i].contactAt, s.electedAt))
+	pr := s.progress[i]
+	return s.now.Sub(max(pr.contactAt, pr.addedAt))
 }
--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -96,10 +96,9 @@
 	// The leader's state.
 	progress        []progress
 	heartbeatDue    notch.Time
-	termStartIndex  uint64     // index of the leader's first entry in its term
-	readyAt         notch.Time // when that entry was committed; zero before
-	quorumContactAt notch.Time // send time of the latest message that a quorum answered
-	electedAt       notch.Time
+	termStartIndex  uint64          // index of the leader's first entry in its term
+	readyAt         notch.Time      // when that entry was committed; zero before
+	quorumContactAt notch.Time      // send time of the latest message that a quorum answered
 	quorumDue       notch.Time      // when the leader steps down, unless a quorum answers later messages
 	desiredVoters   []string        // names of the hosts in the pool control
 	linkedReplicas  []notch.Replica // replicas on daemons that were linked; with targetVoters, only those still linked
--- a/consensus/dump.go
+++ b/consensus/dump.go
@@ -51,7 +51,7 @@
 	for _, pr := range p.progress {
 		f := Follower{Name: pr.replica.Name, Voter: pr.voter, Match: pr.match, Next: pr.next}
 		if pr.replica != p.self {
-			f.SilentMs = p.lastTickAt.Sub(max(pr.contactAt, p.electedAt)).Milliseconds()
+			f.SilentMs = p.lastTickAt.Sub(max(pr.contactAt, pr.addedAt)).Milliseconds()
 		}
 		s.Followers = append(s.Followers, f)
 	}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -205,7 +205,6 @@
 	s.votes = nil
 	s.transferTarget = false
 	s.readyAt, s.quorumContactAt = 0, s.now
-	s.electedAt = s.now
 	s.quorumDue = s.now.Add(s.timing.ElectionTimeout)
 	s.setLeader(s.self.Name)
 	s.termStartIndex = s.log.lastIndex() + 1
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -11,6 +11,7 @@
 type progress struct {
 	replica        notch.Replica
 	voter          bool
+	addedAt        notch.Time // when the leader began to send to the replica
 	match          uint64     // last index known to be synced by the replica
 	next           uint64     // next index to send
 	contactAt      notch.Time // send time of the latest message that the replica answered
@@ -77,7 +78,7 @@
 	var out []progress
 	add := func(rs []notch.Replica, voter bool) {
 		for _, r := range rs {
-			pr := progress{replica: r, next: s.log.lastIndex() + 1}
+			pr := progress{replica: r, addedAt: s.now, next: s.log.lastIndex() + 1}
 			if i := s.progressIndex(r); i >= 0 {
 				pr = s.progress[i]
 			}
