A frame that can't be written again doesn't count as synced

A replica could lose entries that it had acknowledged, and callers accepted work, in this order: a sync fails, the frame can't be cut off, the process is restarted on the full disk, and the power is lost.

lost-sync-full.txtar:14: got 1 entries [{1 1 0 0 {r a 1}}], want 1 to 2

Where the disk refuses to write in place, the segment is now replaced by a copy. Where it refuses that too, the replica starts as before, but the frame is written again ahead of the next write, and until then its entries don't count: Recovered tells their number. A temporary file that a crash leaves of the copy is ignored and removed.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -316,7 +316,7 @@
 	for _, e := range r.Entries {
 		s.appendEntry(e)
 	}
-	s.persistedIndex = s.log.lastIndex()
+	s.persistedIndex = s.log.lastIndex() - uint64(r.Unsynced)
 	s.emitReplicas()
 	s.resetElection()
 	// A single voter is a quorum by itself and needn't wait for the election timeout.
--- a/event.go
+++ b/event.go
@@ -43,6 +43,7 @@
 	Hard     HardState
 	Snapshot *Snapshot
 	Entries  []LogEntry
+	Unsynced int // number of the last entries that may not be synced before the next write is
 }
 
 // Persisted reports that the write with the given number is synced, and all before it. The last of its
--- a/wal/disk_test.go
+++ b/wal/disk_test.go
@@ -170,16 +170,6 @@
 	d.fails = failNever
 }
 
-// hasLost reports whether a failed sync has lost bytes that are still read from a file.
-func (d *disk) hasLost() bool {
-	for _, c := range d.files {
-		if c.lostFrom < c.lostTo {
-			return true
-		}
-	}
-	return false
-}
-
 func keepAll() bool { return true }
 
 // lastFile returns the name of the last file with the prefix, or "".
--- a/wal/random_test.go
+++ b/wal/random_test.go
@@ -52,6 +52,8 @@
 	disk    *disk
 	journal *Journal
 	model   logModel // what is acknowledged
+	// What the journal may also return until a write succeeds: it has reported entries as unsynced.
+	orElse []logModel
 }
 
 // nextCall draws a call. It returns the call and the model after it.
@@ -90,6 +92,7 @@
 // crash reads the journal again, after a loss of power or only of the process, while the disk may
 // be failing. What it returns has to match one of the models.
 func (r *randomJournal) crash(t *testing.T, allowed ...logModel) {
+	allowed = append(allowed, r.orElse...)
 	if r.rand.IntN(2) == 0 {
 		r.disk.crash(r.rand.IntN(300), func() bool { return r.rand.IntN(2) == 0 })
 	}
@@ -107,27 +110,39 @@
 	if !slices.ContainsFunc(allowed, func(m logModel) bool { return m.String() == got.String() }) {
 		t.Fatalf("got %v, want one of %v", got, allowed)
 	}
-	r.model = got
+	r.model, r.orElse = got, nil
+	if recovered.Unsynced > 0 {
+		r.orElse = allowed
+	}
 }
 
-// load reads the journal in a new process. What a failed sync lost is written again only if the disk
-// works then.
+// load reads the journal in a new process.
 func (r *randomJournal) load() (notch.Recovered, error) {
 	r.failSometimes()
-	if r.disk.hasLost() {
-		r.disk.fails = failNever
-	}
 	r.journal = New(r.disk)
 	return r.journal.Load()
 }
 
+// addSnapshot adds to what the journal may also return the same with a snapshot, which is saved before
+// the entries are written again.
+func (r *randomJournal) addSnapshot(index uint64) {
+	for _, m := range r.orElse {
+		if m.snapshot < index {
+			r.orElse = append(r.orElse, m.withSnapshot(index))
+		}
+	}
+}
+
 // run applies a call until it succeeds or a crash interrupts it.
 func (r *randomJournal) run(t *testing.T) {
 	call, after := r.nextCall()
+	if after.snapshot > r.model.snapshot {
+		r.addSnapshot(after.snapshot)
+	}
 	for {
 		r.failSometimes()
 		if call() == nil {
-			r.model = after
+			r.model, r.orElse = after, nil
 			return
 		}
 		if r.rand.IntN(4) == 0 {
--- a/wal/script_test.go
+++ b/wal/script_test.go
@@ -43,6 +43,7 @@
 //	works                                     the last journal call succeeded
 //	failed, corrupt TEXT                      it failed with TEXT, or with ErrCorrupt and TEXT
 //	holds FIRST LAST                          the last reopen returned these entries
+//	unsynced N                                the last reopen reported this number of unsynced entries
 //	term N                                    the last reopen returned this term
 //	files N                                   the data folder holds this many files
 //
@@ -115,6 +116,11 @@
 				ts.Fatalf("got %d entries %v, want %d to %d", len(s.recovered.Entries), s.recovered.Entries, n[0], n[1])
 			}
 		},
+		"unsynced": func(ts *testscript.TestScript, s *session, n []int, _ []string) {
+			if got := s.recovered.Unsynced; got != n[0] {
+				ts.Fatalf("unsynced: got %d, want %d", got, n[0])
+			}
+		},
 		"term": func(ts *testscript.TestScript, s *session, n []int, _ []string) {
 			if got := s.recovered.Hard.Term; got != uint64(n[0]) {
 				ts.Fatalf("term: got %d, want %d", got, n[0])
@@ -143,6 +149,18 @@
 	return out
 }
 
+// Guards against a log that is corrupt after a crash while its last segment was replaced.
+func TestUnfinishedSegmentIsRemoved(t *testing.T) {
+	d := newDisk()
+	d.files[segmentName(1)+tempSuffix] = &content{data: []byte("unfinished")}
+	if _, err := New(d).Load(); err != nil {
+		t.Errorf("got %v, want no error", err)
+	}
+	if got, want := d.lastFile(segmentPrefix), segmentName(1); got != want {
+		t.Errorf("got the file %s, want %s", got, want)
+	}
+}
+
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{Dir: "testdata/script", Cmds: commands(), Setup: func(e *testscript.Env) error {
 		e.Values[sessionKey{}] = &session{disk: newDisk()}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -9,6 +9,7 @@
 package wal
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -59,16 +60,18 @@
 
 // Journal implements [notch.Journal] on a file system.
 type Journal struct {
-	files        FileSystem
-	segment      File              // the current segment; nil if it has to be opened before the next write
-	segmentSeq   uint64            // of the current segment
-	syncedLength int64             // of the current segment; bytes after it belong to a write that failed
-	lastFrame    int64             // offset of the last frame that Load has read
-	segmentLast  uint64            // highest entry index of the current segment
-	closedLast   map[uint64]uint64 // highest entry index of each closed segment, and after Load also of the current one
-	hardState    notch.HardState
-	snapshotName string   // name of the latest snapshot file
-	oldSnapshots []string // names of the snapshot files to remove
+	files          FileSystem
+	segment        File              // the current segment; nil if it has to be opened before the next write
+	segmentSeq     uint64            // of the current segment
+	syncedLength   int64             // of the current segment; bytes after it belong to a write that failed
+	lastFrame      int64             // offset of the last frame that Load has read
+	lastFrameFirst uint64            // index of the first entry of that frame; zero: it holds none
+	suspectFrame   bool              // a sync of that frame may have failed, so it has to be written again
+	segmentLast    uint64            // highest entry index of the current segment
+	closedLast     map[uint64]uint64 // highest entry index of each closed segment, and after Load also of the current one
+	hardState      notch.HardState
+	snapshotName   string   // name of the latest snapshot file
+	oldSnapshots   []string // names of the snapshot files to remove
 }
 
 // New returns a journal that stores its data in files. Load must be called before any
@@ -129,7 +132,7 @@
 	if r.Snapshot, err = j.loadSnapshot(names); err != nil {
 		return r, err
 	}
-	segments := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return !strings.HasPrefix(n, segmentPrefix) })
+	segments := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return !strings.HasPrefix(n, segmentPrefix) || strings.HasSuffix(n, tempSuffix) })
 	log := recoveredLog{}
 	if r.Snapshot != nil {
 		log.snapshotIndex = r.Snapshot.Index
@@ -149,7 +152,20 @@
 		j.segmentSeq = 1
 	}
 	j.removeTemporary(names)
-	return r, j.syncLoaded(torn)
+	if err := j.syncLoaded(torn); err != nil {
+		return r, err
+	}
+	r.Unsynced = j.unsynced(r.Entries)
+	return r, nil
+}
+
+// unsynced returns the number of entries that belong to a last frame which may not be synced.
+func (j *Journal) unsynced(entries []notch.LogEntry) int {
+	if !j.suspectFrame || j.lastFrameFirst == 0 {
+		return 0
+	}
+	first, _ := slices.BinarySearchFunc(entries, j.lastFrameFirst, func(e notch.LogEntry, index uint64) int { return cmp.Compare(e.Index, index) })
+	return len(entries) - first
 }
 
 // syncLoaded syncs what the process before may have left unsynced: names, and the last frame unless a
@@ -158,15 +174,27 @@
 	if err := j.files.SyncFolder(); err != nil {
 		return errors.Wrap(err, "sync data folder")
 	}
-	if torn {
-		// On a full disk the torn frame may have to stay until the next write.
-		_ = j.openSegment()
+	j.suspectFrame = !torn && j.syncedLength > 0
+	err := j.openSegment()
+	if torn || j.suspectFrame {
+		// On a full disk the last frame may have to wait for the next write.
 		return nil
 	}
-	// If a sync of the frame has failed, the next sync includes it only if it is written again. A full
-	// disk may refuse this; then the sync has to do.
-	_ = j.files.Rewrite(segmentName(j.segmentSeq), j.lastFrame)
-	return j.openSegment()
+	return err
+}
+
+// rewriteLastFrame writes the last frame again. If a sync of it has failed, the next sync doesn't
+// include it otherwise. Where the disk refuses to write in place, the segment is replaced.
+func (j *Journal) rewriteLastFrame() error {
+	name := segmentName(j.segmentSeq)
+	if j.files.Rewrite(name, j.lastFrame) == nil {
+		return nil
+	}
+	b, err := j.files.Read(name)
+	if err != nil {
+		return errors.Wrapf(err, "read %s", name)
+	}
+	return errors.Wrap(j.files.WriteAtomic(name, b), "write last frame again")
 }
 
 // removeTemporary removes the files that the process before didn't complete. One that can't be
@@ -223,7 +251,7 @@
 	if !last && torn {
 		return false, errors.Wrapf(notch.ErrCorrupt, "%s ends in a torn frame but isn't the last segment", name)
 	}
-	j.segmentLast, j.lastFrame = 0, 0
+	j.segmentLast, j.lastFrame, j.lastFrameFirst = 0, 0, 0
 	if n := len(payloads); n > 0 {
 		j.lastFrame = length - frameHeaderSize - int64(len(payloads[n-1]))
 	}
@@ -232,6 +260,7 @@
 		if err != nil {
 			return false, errors.Wrapf(notch.ErrCorrupt, "%s: %v", name, err)
 		}
+		j.lastFrameFirst = firstIndex(records)
 		for _, r := range records {
 			log.add(r)
 			j.segmentLast = max(j.segmentLast, lastIndex(r.Entries))
@@ -241,6 +270,17 @@
 	return torn, nil
 }
 
+// firstIndex returns the lowest index of the entries in records, or 0.
+func firstIndex(records []wire.Record) uint64 {
+	first := uint64(0)
+	for _, r := range records {
+		if len(r.Entries) > 0 && (first == 0 || r.Entries[0].Index < first) {
+			first = r.Entries[0].Index
+		}
+	}
+	return first
+}
+
 // lastIndex returns the index of the last entry in es, or 0.
 func lastIndex(es []notch.LogEntry) uint64 {
 	if len(es) == 0 {
@@ -293,6 +333,11 @@
 	if j.segment != nil {
 		return nil
 	}
+	if j.suspectFrame {
+		if err := j.rewriteLastFrame(); err != nil {
+			return err
+		}
+	}
 	f, err := j.files.OpenAppend(segmentName(j.segmentSeq), j.syncedLength)
 	if err != nil {
 		return errors.Wrap(err, "open log")
@@ -301,6 +346,7 @@
 		f.Close()
 		return errors.Wrap(err, "sync log")
 	}
+	j.suspectFrame = false
 	if err := j.files.SyncFolder(); err != nil {
 		f.Close()
 		return errors.Wrap(err, "sync data folder")
