The frame that is written again is the one that was read

It was read from the file again then; after a failed sync the system may have dropped what it held in memory, and the read returns something else than what was loaded. No caller has seen this: found when reading the change.

--- a/wal/disk_test.go
+++ b/wal/disk_test.go
@@ -114,11 +114,12 @@
 	return diskFile{d, c}, nil
 }
 
-func (d *disk) Rewrite(name string, from int64) error {
+func (d *disk) Rewrite(name string, from int64, b []byte) error {
 	if d.fails(opWrite) {
 		return errDisk
 	}
 	if c := d.files[name]; c != nil {
+		copy(c.data[from:], b)
 		c.lostTo = min(c.lostTo, int(from))
 	}
 	return nil
--- a/wal/folder.go
+++ b/wal/folder.go
@@ -55,20 +55,12 @@
 }
 
 // Rewrite implements [FileSystem].
-func (f Folder) Rewrite(name string, from int64) error {
-	file, err := os.OpenFile(f.path(name), os.O_RDWR, 0o600)
+func (f Folder) Rewrite(name string, from int64, b []byte) error {
+	file, err := os.OpenFile(f.path(name), os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer file.Close()
-	end, err := file.Seek(0, io.SeekEnd)
-	if err != nil {
-		return err
-	}
-	b := make([]byte, end-from)
-	if _, err := file.ReadAt(b, from); err != nil {
-		return err
-	}
 	_, err = file.WriteAt(b, from)
 	return err
 }
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -36,8 +36,8 @@
 	// OpenAppend opens a file for appending and truncates it to length bytes. It
 	// creates the file if needed. If the file has that length, nothing is written.
 	OpenAppend(name string, length int64) (File, error)
-	// Rewrite writes again, in place, what a file holds from an offset on.
-	Rewrite(name string, from int64) error
+	// Rewrite writes b again, in place, which a file holds from an offset on.
+	Rewrite(name string, from int64, b []byte) error
 	// WriteAtomic creates or replaces a file and syncs it. An existing file keeps its
 	// old content until the new content is complete. If it fails, no other file is left.
 	WriteAtomic(name string, b []byte) error
@@ -65,6 +65,7 @@
 	segmentSeq     uint64            // of the current segment
 	syncedLength   int64             // of the current segment; bytes after it belong to a write that failed
 	lastFrame      int64             // offset of the last frame that Load has read
+	loaded         []byte            // content of the segment that Load has read last, while suspectFrame
 	lastFrameFirst uint64            // index of the first entry of that frame; zero: it holds none
 	suspectFrame   bool              // a sync of that frame may have failed, so it has to be written again
 	segmentLast    uint64            // highest entry index of the current segment
@@ -184,17 +185,14 @@
 }
 
 // rewriteLastFrame writes the last frame again. If a sync of it has failed, the next sync doesn't
-// include it otherwise. Where the disk refuses to write in place, the segment is replaced.
+// include it otherwise, and what is read from the file may change meanwhile. Where the disk refuses to
+// write in place, the segment is replaced.
 func (j *Journal) rewriteLastFrame() error {
 	name := segmentName(j.segmentSeq)
-	if j.files.Rewrite(name, j.lastFrame) == nil {
+	if j.files.Rewrite(name, j.lastFrame, j.loaded[j.lastFrame:]) == nil {
 		return nil
 	}
-	b, err := j.files.Read(name)
-	if err != nil {
-		return errors.Wrapf(err, "read %s", name)
-	}
-	return errors.Wrap(j.files.WriteAtomic(name, b), "write last frame again")
+	return errors.Wrap(j.files.WriteAtomic(name, j.loaded), "write last frame again")
 }
 
 // removeTemporary removes the files that the process before didn't complete. One that can't be
@@ -251,7 +249,7 @@
 	if !last && torn {
 		return false, errors.Wrapf(notch.ErrCorrupt, "%s ends in a torn frame but isn't the last segment", name)
 	}
-	j.segmentLast, j.lastFrame, j.lastFrameFirst = 0, 0, 0
+	j.segmentLast, j.lastFrame, j.lastFrameFirst, j.loaded = 0, 0, 0, b
 	if n := len(payloads); n > 0 {
 		j.lastFrame = length - frameHeaderSize - int64(len(payloads[n-1]))
 	}
@@ -346,7 +344,7 @@
 		f.Close()
 		return errors.Wrap(err, "sync log")
 	}
-	j.suspectFrame = false
+	j.suspectFrame, j.loaded = false, nil
 	if err := j.files.SyncFolder(); err != nil {
 		f.Close()
 		return errors.Wrap(err, "sync data folder")
