--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -76,6 +76,8 @@
 	snapshot       *notch.Snapshot
 	configs        []configAt // in ascending order; the last one is in force
 	persistedIndex uint64     // last entry synced on this replica
+	lastWrite      uint64     // number of the last write that the journal was given
+	validWrite     uint64     // number of the first write whose entries the log has kept
 	commitIndex    uint64
 	appliedIndex   uint64     // last entry passed to the other parts
 	reducedIndex   uint64     // last entry that the parts have begun to apply
@@ -86,6 +88,7 @@
 	leader         string
 	votes          []string // names of the voters that granted their vote
 	electionDue    notch.Time
+	campaignedAt   notch.Time // when the last pre-vote or election began
 	lastHeardAt    notch.Time // when a leader's message last arrived
 	lastTickAt     notch.Time // zero before the first tick
 	transferTarget bool       // the leader asked this replica to take over
@@ -93,10 +96,9 @@
 	// The leader's state.
 	progress        []progress
 	heartbeatDue    notch.Time
-	termStartIndex  uint64     // index of the leader's first entry in its term
-	readyAt         notch.Time // when that entry was committed; zero before
-	quorumContactAt notch.Time // send time of the latest message that a quorum answered
-	electedAt       notch.Time
+	termStartIndex  uint64          // index of the leader's first entry in its term
+	readyAt         notch.Time      // when that entry was committed; zero before
+	quorumContactAt notch.Time      // send time of the latest message that a quorum answered
 	quorumDue       notch.Time      // when the leader steps down, unless a quorum answers later messages
 	desiredVoters   []string        // names of the hosts in the pool control
 	linkedReplicas  []notch.Replica // replicas on daemons that were linked; with targetVoters, only those still linked
@@ -278,7 +280,7 @@
 	if s.electionDue == 0 {
 		s.resetElection()
 	}
-	if s.now.Before(s.electionDue) || !s.isVoter() || s.stopping || s.journalFailing() {
+	if s.now.Before(s.electionDue) || !s.isVoter() || s.stopping || s.journalFailing() || s.awaitsOwnVote() {
 		return
 	}
 	s.campaign(rolePreCandidate)
@@ -314,7 +316,7 @@
 	for _, e := range r.Entries {
 		s.appendEntry(e)
 	}
-	s.persistedIndex = s.log.lastIndex()
+	s.persistedIndex = s.log.lastIndex() - uint64(r.Unsynced)
 	s.emitReplicas()
 	s.resetElection()
 	// A single voter is a quorum by itself and needn't wait for the election timeout.
@@ -327,6 +329,7 @@
 // it only up to the commit index before.
 func (s *stepper) restoreSnapshot(snap notch.Snapshot) {
 	s.persistedIndex = min(s.persistedIndex, s.commitIndex)
+	s.validWrite = s.lastWrite + 1
 	s.snapshot = &snap
 	s.log = newLogAt(snap.Index, snap.Term)
 	s.configs = []configAt{{index: snap.Index, set: snap.Replicas}}
@@ -334,9 +337,18 @@
 	s.emit(notch.Restored{Snapshot: snap})
 }
 
+// persist passes the hard state and entries to the journal, which sends the messages once they are
+// synced.
+func (s *stepper) persist(entries []notch.LogEntry, then ...notch.Send) {
+	s.lastWrite++
+	s.effects = append(s.effects, notch.Persist{Hard: s.hardState, Entries: entries, Then: then, Write: s.lastWrite})
+}
+
+// onPersisted counts the entries of a write as synced, unless the log has lost some of them since: even
+// if it holds the same entries again, a later write first removes them from the disk.
 func (s *stepper) onPersisted(b notch.Persisted) {
-	if s.log.term(b.Index) != b.Term {
-		return // the entry was replaced after it was passed to the journal
+	if b.Write < s.validWrite || s.log.term(b.Index) != b.Term {
+		return
 	}
 	s.persistedIndex = max(s.persistedIndex, b.Index)
 	if s.role == roleLeader {
--- a/event.go
+++ b/event.go
@@ -43,11 +43,13 @@
 	Hard     HardState
 	Snapshot *Snapshot
 	Entries  []LogEntry
+	Unsynced int // number of the last entries that may not be synced before the next write is
 }
 
-// Persisted reports that the log is synced up to the entry at Index, which has the
-// given Term.
+// Persisted reports that the write with the given number is synced, and all before it. The last of its
+// entries is the one at Index, which has the given Term.
 type Persisted struct {
+	Write uint64
 	Term  uint64
 	Index uint64
 }
--- a/wal/disk_test.go
+++ b/wal/disk_test.go
@@ -114,11 +114,12 @@
 	return diskFile{d, c}, nil
 }
 
-func (d *disk) Rewrite(name string, from int64) error {
+func (d *disk) Rewrite(name string, from int64, b []byte) error {
 	if d.fails(opWrite) {
 		return errDisk
 	}
 	if c := d.files[name]; c != nil {
+		copy(c.data[from:], b)
 		c.lostTo = min(c.lostTo, int(from))
 	}
 	return nil
@@ -170,16 +171,6 @@
 	d.fails = failNever
 }
 
-// hasLost reports whether a failed sync has lost bytes that are still read from a file.
-func (d *disk) hasLost() bool {
-	for _, c := range d.files {
-		if c.lostFrom < c.lostTo {
-			return true
-		}
-	}
-	return false
-}
-
 func keepAll() bool { return true }
 
 // lastFile returns the name of the last file with the prefix, or "".
