A bootstrap that was interrupted is completed at the next start

A process that ended between the identity and the first entries of a new cluster, as its disk was full or the power was lost, left a folder with an identity and without a log. The next start took it for a folder of another cluster, so that no replica ever led and all calls went unanswered.

The identity now says that the folder was created to begin a cluster.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -178,9 +178,9 @@
 	j := wal.New(wal.Folder(d.settings.DataDir))
 	newIdentity := wal.Identity{Storage: rand.Uint64() | 1}
 	if d.settings.bootstraps() {
-		newIdentity.Cluster = rand.Uint64() | 1
+		newIdentity.Cluster, newIdentity.Founder = rand.Uint64()|1, true
 	}
-	id, created, err := j.Identity(newIdentity)
+	id, _, err := j.Identity(newIdentity)
 	if err != nil {
 		return id, nil, err
 	}
@@ -189,7 +189,7 @@
 		return id, nil, errors.Wrap(err, "data folder "+d.settings.DataDir)
 	}
 	replica := notch.Replica{Name: self.Name, Storage: id.Storage}
-	if created && d.settings.bootstraps() {
+	if id.Founder && isEmpty(r) && d.settings.bootstraps() {
 		r = consensus.Bootstrap(replica)
 		if err := j.Append([]notch.Persist{{Hard: r.Hard, Entries: r.Entries}}); err != nil {
 			return id, nil, err
@@ -206,6 +206,12 @@
 	return id, &r, nil
 }
 
+// isEmpty reports whether a journal contained nothing: it is new, or the process that created it ended
+// before its first write was complete.
+func isEmpty(r notch.Recovered) bool {
+	return r.Hard == notch.HardState{} && r.Snapshot == nil && len(r.Entries) == 0
+}
+
 // recoverAlone appends to the log a replica set whose only voter is this replica.
 // Entries that the lost majority accepted and this replica didn't receive are lost.
 func recoverAlone(j *wal.Journal, r notch.Recovered, self notch.Replica) (notch.Recovered, error) {
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -50,12 +50,15 @@
 type Identity struct {
 	Storage uint64 // random and not zero
 	Cluster uint64 // zero until the cluster is known
+	Founder bool   // the folder was created to begin the cluster
 }
 
 const (
 	identityName   = "identity"
 	segmentPrefix  = "log-"
 	snapshotPrefix = "snapshot-"
+
+	founderLine = "founder\n" // at the end of the identity file of a founder
 )
 
 // Journal implements [notch.Journal] on a file system.
@@ -93,9 +96,11 @@
 		if err != nil {
 			return Identity{}, false, errors.Wrap(err, "read identity")
 		}
-		if _, err := fmt.Sscanf(string(b), "storage %d\ncluster %d\n", &id.Storage, &id.Cluster); err != nil || id.Storage == 0 {
+		text, founder := strings.CutSuffix(string(b), founderLine)
+		if _, err := fmt.Sscanf(text, "storage %d\ncluster %d\n", &id.Storage, &id.Cluster); err != nil || id.Storage == 0 {
 			return Identity{}, false, errors.Wrapf(notch.ErrCorrupt, "identity file has invalid content %q", b)
 		}
+		id.Founder = founder
 		return id, false, nil
 	}
 	if slices.ContainsFunc(names, func(n string) bool { return strings.HasPrefix(n, segmentPrefix) }) {
@@ -117,6 +122,9 @@
 // SetIdentity replaces the folder's identity.
 func (j *Journal) SetIdentity(id Identity) error {
 	text := fmt.Sprintf("storage %d\ncluster %d\n", id.Storage, id.Cluster)
+	if id.Founder {
+		text += founderLine
+	}
 	return errors.Wrap(j.files.WriteAtomic(identityName, []byte(text)), "write identity")
 }
 
