--- a/daemon/bootstrap_test.go
+++ b/daemon/bootstrap_test.go
@@ -19,7 +19,7 @@
 	s := Defaults("a", "north")
 	s.DataDir, s.Bootstrap, s.Lanes = t.TempDir(), true, 1
 	s.Listen, s.Operators, s.Link = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-	if _, _, err := wal.New(wal.Folder(s.DataDir)).Identity(wal.Identity{Storage: 7, Cluster: 9, Founder: true}); err != nil {
+	if _, err := wal.New(wal.Folder(s.DataDir)).Identity(wal.Identity{Storage: 7, Cluster: 9, Founder: true}); err != nil {
 		t.Fatal(err)
 	}
 	log := logrus.New()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -180,7 +180,7 @@
 	if d.settings.bootstraps() {
 		newIdentity.Cluster, newIdentity.Founder = rand.Uint64()|1, true
 	}
-	id, _, err := j.Identity(newIdentity)
+	id, err := j.Identity(newIdentity)
 	if err != nil {
 		return id, nil, err
 	}
--- a/experiment/costs.go
+++ b/experiment/costs.go
@@ -229,7 +229,7 @@
 			return out
 		}
 		j := wal.New(wal.Folder(dir))
-		if _, _, err := j.Identity(wal.Identity{Storage: 1}); err != nil {
+		if _, err := j.Identity(wal.Identity{Storage: 1}); err != nil {
 			return out
 		}
 		if _, err := j.Load(); err != nil {
--- a/experiment/restart.go
+++ b/experiment/restart.go
@@ -47,7 +47,7 @@
 // openJournal opens the journal in dir.
 func openJournal(dir string) *wal.Journal {
 	j := wal.New(wal.Folder(dir))
-	if _, _, err := j.Identity(wal.Identity{Storage: 1}); err != nil {
+	if _, err := j.Identity(wal.Identity{Storage: 1}); err != nil {
 		panic(err) // no other process uses the folder
 	}
 	return j
--- a/wal/script_test.go
+++ b/wal/script_test.go
@@ -65,7 +65,7 @@
 		},
 		"reopen": func(ts *testscript.TestScript, s *session, _ []int, _ []string) {
 			s.journal = New(s.disk)
-			if _, _, s.err = s.journal.Identity(Identity{Storage: 7}); s.err == nil {
+			if _, s.err = s.journal.Identity(Identity{Storage: 7}); s.err == nil {
 				s.recovered, s.err = s.journal.Load()
 			}
 		},
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -84,34 +84,35 @@
 	return &Journal{files: files, closedLast: map[uint64]uint64{}}
 }
 
-// Identity returns the identity of the folder and whether it was created by this call. A
-// folder without an identity and without a log gets the identity fresh.
-func (j *Journal) Identity(fresh Identity) (id Identity, created bool, err error) {
+// Identity returns the identity of the folder. A folder without an identity and without a log gets
+// the identity fresh.
+func (j *Journal) Identity(fresh Identity) (Identity, error) {
+	var id Identity
 	names, err := j.files.List()
 	if err != nil {
-		return Identity{}, false, errors.Wrap(err, "list data folder")
+		return Identity{}, errors.Wrap(err, "list data folder")
 	}
 	if slices.Contains(names, identityName) {
 		b, err := j.files.Read(identityName)
 		if err != nil {
-			return Identity{}, false, errors.Wrap(err, "read identity")
+			return Identity{}, errors.Wrap(err, "read identity")
 		}
 		text, founder := strings.CutSuffix(string(b), founderLine)
 		if _, err := fmt.Sscanf(text, "storage %d\ncluster %d\n", &id.Storage, &id.Cluster); err != nil || id.Storage == 0 {
-			return Identity{}, false, errors.Wrapf(notch.ErrCorrupt, "identity file has invalid content %q", b)
+			return Identity{}, errors.Wrapf(notch.ErrCorrupt, "identity file has invalid content %q", b)
 		}
 		id.Founder = founder
-		return id, false, nil
+		return id, nil
 	}
 	if slices.ContainsFunc(names, func(n string) bool { return strings.HasPrefix(n, segmentPrefix) }) {
-		return Identity{}, false, errors.Wrap(notch.ErrCorrupt, "the data folder has a log but no identity")
+		return Identity{}, errors.Wrap(notch.ErrCorrupt, "the data folder has a log but no identity")
 	}
-	return fresh, true, j.SetIdentity(fresh)
+	return fresh, j.SetIdentity(fresh)
 }
 
 // SetCluster implements [notch.Journal].
 func (j *Journal) SetCluster(cluster uint64) error {
-	id, _, err := j.Identity(Identity{})
+	id, err := j.Identity(Identity{})
 	if err != nil {
 		return err
 	}
