One agent that crashes again and again needs five crashes to make its task guilty

The rule of three different addresses was too weak in a small pool, where a guilty task comes back to an agent that it crashed before:

--- a/flow/suspicion.go
+++ b/flow/suspicion.go
@@ -11,12 +11,12 @@
 
 // The limits of a task that may crash the agents that start it.
 const (
-	maxSuspectedCrashes = 3                // agents in a row that ended or fell silent under a task that is given up
-	maxRepeatedCrashes  = 5                // the same, where an agent did so more than once
-	minCertainCrashes   = 2                // of those, agents that have certainly ended
-	probation           = 3 * time.Second  // a run that its agent survives for so long clears its task
-	noteWithin          = 2 * probation    // since the placement or the leader's election, in which a listed run is noted as at work
-	suspectPause        = 10 * time.Second // between the runs of a task with maxSuspectedCrashes, for its agents to come back
+	maxSuspectedCrashes  = 3                // agents in a row that ended or fell silent under a task that is given up
+	maxCrashesOfOneAgent = 5                // the same, where all of them were at one address
+	minCertainCrashes    = 2                // of those, agents that have certainly ended
+	probation            = 3 * time.Second  // a run that its agent survives for so long clears its task
+	noteWithin           = 2 * probation    // since the placement or the leader's election, in which a listed run is noted as at work
+	suspectPause         = 10 * time.Second // between the runs of a task with maxSuspectedCrashes, for its agents to come back
 )
 
 // suspicionAfter judges a run that is abandoned because its agent's incarnation has ended or is
@@ -140,8 +140,8 @@
 	return "task " + ref.String() + " crashes the agents that start it: " + strings.Join(agents, ", ")
 }
 
-// crashesAgents reports whether a task is given up because of the agents that crashed under it. One
-// agent that crashes again and again proves less than several: it may do so for a reason of its own.
+// crashesAgents reports whether a task is given up because of the agents that crashed under it. If it
+// was one agent again and again, more crashes are needed: it may have a reason of its own.
 func (s *stepper) crashesAgents(t notch.WorkflowTask) bool {
 	certain, addresses := 0, map[string]bool{}
 	for _, life := range t.Suspects {
@@ -150,8 +150,11 @@
 			certain++
 		}
 	}
-	crashes := max(len(addresses), len(t.Suspects)-(maxRepeatedCrashes-maxSuspectedCrashes))
-	return crashes >= maxSuspectedCrashes && certain >= minCertainCrashes
+	needed := maxSuspectedCrashes
+	if len(addresses) == 1 {
+		needed = maxCrashesOfOneAgent
+	}
+	return len(t.Suspects) >= needed && certain >= minCertainCrashes
 }
 
 // addressOf returns the address of an incarnation's agent, which its successor under another id has
