A daemon, its engine and its components end once

Nobody owned the end: Stop and Kill each closed all components.

Now the daemon ends its components once, whoever asks first, and every call returns when they have ended; Stop returns the outcome of the first Stop, and Kill cuts its waits short. The engine ends its loops and its journaler once, by itself, and closes the connections to agents, which nothing did.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,10 @@
 	servers      []notch.Server // in the order of their start
 	callerServer notch.Server   // nil if callers aren't served
 	stopping     atomic.Bool
+	stopOnce     sync.Once
+	stopErr      error // of the graceful stop
+	closeOnce    sync.Once
+	ending       chan struct{} // closed when the daemon begins to end
 }
 
 // Module returns the fx options that build a daemon. fx builds each component after
@@ -78,7 +83,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, log: log, registry: registry}
+	d := &Daemon{settings: s, log: log, registry: registry, ending: make(chan struct{})}
 	registerUsage(registry)
 	if s.Protocol != OwnProtocol {
 		newAdapter, ok := adapters[s.Protocol]
@@ -95,6 +100,9 @@
 	}
 	if err := d.build(); err != nil {
 		d.closeListeners()
+		if d.journal != nil {
+			d.journal.Close()
+		}
 		return nil, err
 	}
 	return d, nil
@@ -176,6 +184,7 @@
 // daemon bootstraps the cluster, it first writes the initial log to an empty folder.
 func (d *Daemon) openData(self notch.Daemon) (wal.Identity, *notch.Recovered, error) {
 	j := wal.New(wal.Folder(d.settings.DataDir))
+	d.journal = j
 	newIdentity := wal.Identity{Storage: rand.Uint64() | 1}
 	if d.settings.bootstraps() {
 		newIdentity.Cluster, newIdentity.Founder = rand.Uint64()|1, true
@@ -202,7 +211,6 @@
 		}
 		d.log.WithField("daemon", self.Name).Warn("continues as the only control replica")
 	}
-	d.journal = j
 	return id, &r, nil
 }
 
@@ -283,14 +291,16 @@
 // load balancer has noticed. Then it accepts no new connections from callers and
 // waits for the requests in flight, at most for the stop timeout. Finally it transfers
 // leadership if it leads, and sends the leader a leave message, so that other entries
-// get its slots.
+// get its slots. Every call returns the outcome of the first; Kill cuts it short.
 func (d *Daemon) Stop(ctx context.Context) error {
+	d.stopOnce.Do(func() { d.stopErr = d.stop(ctx) })
+	return d.stopErr
+}
+
+func (d *Daemon) stop(ctx context.Context) error {
 	d.stopping.Store(true)
 	d.log.WithField("daemon", d.settings.Name).Info("stopping")
-	select {
-	case <-time.After(d.drainDelay()):
-	case <-ctx.Done():
-	}
+	d.pause(ctx, d.drainDelay())
 	var err error
 	if d.callerServer != nil {
 		drainCtx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.StopTimeout))
@@ -298,12 +308,21 @@
 		err = errors.Wrap(d.callerServer.Shutdown(drainCtx), "requests were still in flight after --stop-timeout")
 	}
 	d.engine.Post(notch.ShutdownStarted{})
-	time.Sleep(leaveDelay)
+	d.pause(context.WithoutCancel(ctx), leaveDelay)
 	d.close()
 	d.log.WithField("daemon", d.settings.Name).Info("stopped")
 	return err
 }
 
+// pause waits for a delay, at most until ctx ends or the daemon is killed.
+func (d *Daemon) pause(ctx context.Context, delay time.Duration) {
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+	case <-d.ending:
+	}
+}
+
 // drainDelay returns how long the load balancer gets to notice that the daemon is
 // unready. It is zero for a daemon that serves no callers.
 func (d *Daemon) drainDelay() time.Duration {
@@ -317,9 +336,14 @@
 // that transfer leadership and announce the leave arrive.
 const leaveDelay = 300 * time.Millisecond
 
-// close closes the servers in the reverse order of their start. The link server,
+// close ends the daemon's components, each of which belongs to it alone. Every call
+// returns once they have ended.
+func (d *Daemon) close() { d.closeOnce.Do(d.closeComponents) }
+
+// closeComponents closes the servers in the reverse order of their start. The link server,
 // which was started first, closes after the link.
-func (d *Daemon) close() {
+func (d *Daemon) closeComponents() {
+	close(d.ending)
 	for i := len(d.servers) - 1; i > 0; i-- {
 		d.servers[i].Close()
 	}
@@ -327,6 +351,7 @@
 	if len(d.servers) > 0 {
 		d.servers[0].Close()
 	}
+	d.closeListeners()
 	d.engine.Close()
 	if d.journal != nil {
 		d.journal.Close()
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -54,6 +54,7 @@
 	lastRequest atomic.Uint64
 	tables      atomic.Pointer[notch.Tables]
 	leaseUntil  atomic.Int64 // end of the entry's lease
+	closeOnce   sync.Once
 
 	mu       sync.Mutex
 	calls    map[uint64]chan notch.Effect // by ticket
@@ -315,8 +316,10 @@
 
 // Close stops the lanes, then the control loop after it has processed the events
 // that the lanes posted, then the journaler after it has synced the records that
-// the control loop left.
-func (e *Engine) Close() {
+// the control loop left, then the connections to agents. Every call returns once they have ended.
+func (e *Engine) Close() { e.closeOnce.Do(e.closeAll) }
+
+func (e *Engine) closeAll() {
 	for _, l := range e.lanes {
 		l.close()
 	}
@@ -324,6 +327,9 @@
 	if e.journal != nil {
 		e.journal.close()
 	}
+	if e.cfg.Agents != nil {
+		e.cfg.Agents.Close()
+	}
 }
 
 // Dump returns the state of the parts of every loop, without parts that don't
--- a/engine/journaler.go
+++ b/engine/journaler.go
@@ -48,7 +48,7 @@
 func (w *journaler) put(f notch.Effect) { w.effects.put(f) }
 
 // close stops the journaler after it has written the queued effects, or at once if the journal
-// is failing.
+// is failing. It is called once, by the engine that started it.
 func (w *journaler) close() {
 	w.effects.close()
 	close(w.closing)
