Contact tests: the stall begins after the large message is made

TestContactDoesNotWaitForNextSession failed 79 times of 144 at a load of 33 on 8 processors (24 copies at once). A trace showed a session that ended before the large message was written: the proxy stalled first, and the test then made 64 MB of letters, which took seconds, while a ping got no answer within its 2 s. That a session ends then is right. The message is made first now. What remained, 3 of 288 at a load of 36, were starved tests: a dial on loopback took 1 to 2.8 s.

--- a/link/contact_test.go
+++ b/link/contact_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -122,10 +123,13 @@
 // document of 630 KB, and the answers to heartbeats waited for its end.
 func TestContactDoesNotWaitForLargeMessage(t *testing.T) {
 	t.Parallel()
+	large := largeMessage() // before the stall: a session that sends no answer to a ping ends
 	l := newProxiedLink(t, dialler)
-	l.sender.Send("b", notch.Outcome{Result: notch.TablesResult{Tables: notch.Tables{Document: incompressible(64 << 20)}}})
-	// The first answers are sent before the contact connection is up, and wait.
-	for deadline := time.After(writeTimeout - time.Second); ; {
+	l.sender.Send("b", large)
+	// The first answers are sent before the contact connection is up, and wait. The attempts are
+	// counted, as time in which a busy machine doesn't run the test says nothing about the link.
+	const interval = 10 * time.Millisecond
+	for range (writeTimeout - time.Second) / interval {
 		l.sender.Send("b", notch.AppendReply{Term: 2, OK: true})
 		select {
 		case m := <-l.received:
@@ -133,13 +137,17 @@
 				t.Errorf("got %+v, want the answer", m)
 			}
 			return
-		case <-deadline:
-			t.Fatal("got no answer, want one while the large message is written")
-		case <-time.After(10 * time.Millisecond):
+		case <-time.After(interval):
 		}
 	}
+	t.Fatal("got no answer, want one while the large message is written")
 }
 
+// largeMessage is a message whose writing takes longer than a stalled connection lasts.
+var largeMessage = sync.OnceValue(func() notch.Message {
+	return notch.Outcome{Result: notch.TablesResult{Tables: notch.Tables{Document: incompressible(64 << 20)}}}
+})
+
 // incompressible returns n random letters, which compression leaves at more than half of the size.
 func incompressible(n int) string {
 	const letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/"
@@ -155,8 +163,9 @@
 // failed, and the next session sends what waited.
 func TestContactDoesNotWaitForNextSession(t *testing.T) {
 	t.Parallel()
+	large := largeMessage() // before the stall: a session that sends no answer to a ping ends
 	l := newProxiedLink(t, dialler)
-	l.sender.Send("b", notch.Outcome{Result: notch.TablesResult{Tables: notch.Tables{Document: incompressible(64 << 20)}}})
+	l.sender.Send("b", large)
 	for {
 		l.sender.Send("b", notch.AppendReply{Term: 2, OK: true})
 		select {
