A run that an agent started unasked keeps its room until it is gone

Trace: w4 was silent until its lease had expired and its runs were given up; it came back, carried out a late start of its earlier incarnation 142 ms after its birth, and listed that run in its first answer. The leader ordered its stop and placed other runs into the room in the same step, 50 ms before the run was gone.

While the latest lists of an agent hold a live run that has no reservation there, it gets no new runs, and starts of placements that were under way are withheld.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -49,8 +49,10 @@
 	endsOfMissing, missing := s.endsOfMissingRuns(session, a, b)
 	ends, session.missesRuns = append(ends, endsOfMissing...), missing
 	ends = append(ends, s.unfoundedSuspicions(session)...)
+	session.hasStrays = false
 	for _, l := range b.Answer.Live {
 		s.checkLiveRun(session, a, l)
+		session.hasStrays = session.hasStrays || !s.isPlacedOn(session.incarnation, l.Run)
 	}
 	s.controlColocation(a, b.Answer.Live)
 	s.evacuate(a, b.Answer.Live)
@@ -247,6 +249,12 @@
 	s.noteAtWork(l.Run, r)
 }
 
+// isPlacedOn reports whether a run that isn't known to have ended was placed on an incarnation of an agent.
+func (s *stepper) isPlacedOn(incarnation notch.AgentIncarnation, ref notch.RunRef) bool {
+	r, ok := s.run(ref)
+	return ok && r.Life == incarnation
+}
+
 // whyUnwanted returns why an incarnation of an agent shouldn't have a run; empty if it should.
 func (s *stepper) whyUnwanted(session agentSession, ref notch.RunRef) string {
 	w, ok := s.workflows.Get(ref.Task.Flow)
