Nothing is acknowledged for an incarnation that has a successor

Trace: agent w2 restarted under its id at 26.77 s; the leader, which didn't know, sent starts and a renewal, and the new incarnation took them. Its answer showed the later start of life. The leader proposed to admit it and couldn't commit that at once, and the renewal 500 ms later still acknowledged the ends up to 15 of the incarnation before: the new one forgot its ends 1 to 3, which nobody had read, and their tasks ran again.

From the answer that shows a successor, renewals acknowledge nothing and grant nothing, and no runs are placed there, until the successor is committed.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -24,7 +24,7 @@
 		session.unanswered++
 		session.nextRenewalAt = s.now.Add(s.timing.RetryInterval * time.Duration(min(session.unanswered, maxBackoff)))
 	case b.Answer.Born != 0 && b.Answer.Born > session.incarnation.Born:
-		session.nextRenewalAt = s.now.Add(s.timing.RetryInterval)
+		session.succeeded, session.nextRenewalAt = true, s.now.Add(s.timing.RetryInterval)
 		a.Born, a.Draining, a.Left = b.Answer.Born, false, false
 		s.propose(notch.AdmitAgent{Agent: a})
 	default:
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -15,7 +15,7 @@
 		return
 	}
 	o := notch.AgentOrder{Kind: notch.AgentRenew, Token: session.token}
-	if session.unanswered == 0 {
+	if session.unanswered == 0 && !session.succeeded {
 		// Orders that aren't answered may be carried out late. If each one granted a lease, the
 		// leases of an agent that is gone would never expire. If the agent restarts meanwhile, its
 		// next incarnation would take the acknowledgement for one of its own ends.
--- a/flow/session.go
+++ b/flow/session.go
@@ -21,6 +21,7 @@
 	predecessorAnsweredAt notch.Time // when the incarnation before it last answered this leader; zero: never
 	nextRenewalAt         notch.Time // no lease renewal is sent before then
 	unanswered            int        // successive lease renewals that brought no lists of runs and ends
+	succeeded             bool       // an answer showed a later incarnation, which isn't committed yet
 	hasStrays             bool       // the latest lists held a live run that has no reservation here
 	missesRuns            bool       // the latest lists lacked a run that may still be live or start
 	proposedUpTo          uint64     // ends up to this position were proposed
--- a/flow/views.go
+++ b/flow/views.go
@@ -96,7 +96,7 @@
 	if a.Draining || a.Left || session.incarnation != a.Incarnation() || pool.IsLeaving(a.ID, a.Host) {
 		return false
 	}
-	return session.lastAnsweredAt != 0 && session.unanswered == 0 && !session.hasStrays && !s.now.Before(session.noRunsBefore) && s.now.Sub(session.lastAnsweredAt) < s.timing.MaxSilence
+	return session.lastAnsweredAt != 0 && session.unanswered == 0 && !session.succeeded && !session.hasStrays && !s.now.Before(session.noRunsBefore) && s.now.Sub(session.lastAnsweredAt) < s.timing.MaxSilence
 }
 
 // agentViewOf returns a view without the images of the tasks.
