Each use of descriptors has its share, and a lack of them changes no leader

The gauges descriptors-open and descriptors-limit show what is in use.

An order for which there was no connection in time provably wasn't sent; it ends as not run at once and doesn't wait for a lease to expire, nor does its task count as suspected.

--- a/consensus/failing.go
+++ b/consensus/failing.go
@@ -20,6 +20,10 @@
 func (p *Part) journalFailing() bool { return p.failingSince != 0 }
 
 func (s *stepper) onJournalFailing(b notch.JournalFailing) {
+	if b.Exhausted {
+		s.logMessage("journal waits for a descriptor", notch.TextField("reason", b.Reason), notch.IntField("waiting", b.Waiting))
+		return
+	}
 	s.failingSince = s.now
 	s.logMessage("journal is failing", notch.TextField("reason", b.Reason), notch.IntField("waiting", b.Waiting))
 	s.effects = append(s.effects, notch.Count{Name: metricJournalFailing, Delta: 1})
@@ -31,6 +35,9 @@
 }
 
 func (s *stepper) onJournalRecovered() {
+	if !s.journalFailing() {
+		return // it only waited for a descriptor
+	}
 	s.logMessage("journal works again", notch.DurationField("after", s.now.Sub(s.failingSince)))
 	s.effects = append(s.effects, notch.Count{Name: metricJournalFailing, Delta: -1})
 	s.failingSince = 0
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,9 +17,11 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
+	"golang.org/x/net/netutil"
 
 	notch "tamaracknotch"
 	"tamaracknotch/consensus"
+	"tamaracknotch/descriptors"
 	"tamaracknotch/engine"
 	"tamaracknotch/front"
 	"tamaracknotch/link"
@@ -31,6 +33,7 @@
 	settings     Settings
 	log          *logrus.Logger
 	registry     metrics.Registry
+	budget       descriptors.Budget
 	engine       *engine.Engine
 	link         *link.Link
 	journal      *wal.Journal
@@ -85,6 +88,12 @@
 	}
 	d := &Daemon{settings: s, log: log, registry: registry, ending: make(chan struct{})}
 	registerUsage(registry)
+	limit, err := descriptors.Limit()
+	if err != nil {
+		return nil, err
+	}
+	d.budget = descriptors.Divide(limit, s.DataDir != "")
+	registerDescriptors(registry, limit)
 	if s.Protocol != OwnProtocol {
 		newAdapter, ok := adapters[s.Protocol]
 		if !ok {
@@ -114,11 +123,12 @@
 // listen opens a listener for each address that is set.
 func (d *Daemon) listen() error {
 	for _, socket := range []struct {
-		address  string
-		listener *net.Listener
+		address     string
+		listener    *net.Listener
+		connections int // at most that many are open; 0: no limit
 	}{
-		{d.settings.Listen, &d.callers}, {d.settings.Operators, &d.operators}, {d.settings.Link, &d.links},
-		{d.settings.Health, &d.health}, {d.settings.Metrics, &d.metrics},
+		{d.settings.Listen, &d.callers, d.budget.Callers}, {d.settings.Operators, &d.operators, d.budget.Operators},
+		{d.settings.Link, &d.links, 0}, {d.settings.Health, &d.health, 0}, {d.settings.Metrics, &d.metrics, 0},
 	} {
 		if socket.address == "" {
 			continue
@@ -127,6 +137,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", socket.address)
 		}
+		if socket.connections > 0 {
+			l = netutil.LimitListener(l, socket.connections)
+		}
 		*socket.listener = l
 	}
 	return nil
@@ -169,7 +182,7 @@
 	cfg := engine.Config{
 		Self: self, Control: controlState(d.settings, self, id.Storage, id.Cluster), Lanes: laneStates(d.settings),
 		Clock: newClock(), Seed: rand.Uint64(), Link: d.link,
-		Agents: d.adapter.Agents(), Sink: d.sink(),
+		Agents: d.adapter.Agents(d.budget.Agents), Sink: d.sink(),
 	}
 	if d.journal != nil {
 		cfg.Journal = d.journal
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"tamaracknotch/descriptors"
 	"tamaracknotch/usage"
 )
 
@@ -21,3 +22,15 @@
 	}
 	r.Register("runtime-gc-share", metrics.NewFunctionalGaugeFloat64(func() float64 { return usage.Read().GCShare() }))
 }
+
+// registerDescriptors registers gauges of the descriptors that the process has open and may have open.
+func registerDescriptors(r metrics.Registry, limit int) {
+	r.Register("descriptors-open", metrics.NewFunctionalGauge(func() int64 {
+		n, err := descriptors.InUse()
+		if err != nil {
+			return -1
+		}
+		return int64(n)
+	}))
+	r.Register("descriptors-limit", metrics.NewFunctionalGauge(func() int64 { return int64(limit) }))
+}
--- a/engine/journaler.go
+++ b/engine/journaler.go
@@ -7,8 +7,13 @@
 	"github.com/pkg/errors"
 
 	notch "tamaracknotch"
+	"tamaracknotch/descriptors"
 )
 
+// exhaustedLimit is how long writes may fail for lack of a descriptor before the journal counts as
+// failing. The process has none left for a moment; another replica in its place soon would not either.
+const exhaustedLimit = 3 * time.Second
+
 // journalRetryInterval is the time after which a write that failed is repeated.
 const journalRetryInterval = 200 * time.Millisecond
 
@@ -111,8 +116,13 @@
 	if err == nil || errors.Is(err, notch.ErrCorrupt) {
 		return err
 	}
-	w.post(notch.JournalFailing{Reason: err.Error(), Waiting: waiting})
-	for err != nil && !errors.Is(err, notch.ErrCorrupt) {
+	exhausted := descriptors.Exhausted(err)
+	w.post(notch.JournalFailing{Reason: err.Error(), Waiting: waiting, Exhausted: exhausted})
+	for beganAt := time.Now(); err != nil && !errors.Is(err, notch.ErrCorrupt); {
+		if exhausted && (!descriptors.Exhausted(err) || time.Since(beganAt) > exhaustedLimit) {
+			exhausted = false
+			w.post(notch.JournalFailing{Reason: err.Error(), Waiting: waiting})
+		}
 		select {
 		case <-time.After(journalRetryInterval):
 			err = write()
--- a/event.go
+++ b/event.go
@@ -60,8 +60,9 @@
 // JournalFailing reports that a write to the journal failed. The write is repeated until
 // it succeeds, and nothing is synced before that.
 type JournalFailing struct {
-	Reason  string
-	Waiting int // records that the journal was given and hasn't synced
+	Reason    string
+	Waiting   int  // records that the journal was given and hasn't synced
+	Exhausted bool // the process had no descriptor left; nothing is known to be wrong with the journal
 }
 
 // JournalRecovered reports that the write succeeded for which the journal was failing.
--- a/front/adapter.go
+++ b/front/adapter.go
@@ -15,6 +15,6 @@
 	Operators(s notch.System, l net.Listener) notch.Server
 	Health(s notch.System, l net.Listener) notch.Server
 	// Agents returns the client that sends orders to agents, or nil if the protocol
-	// sends no orders.
-	Agents() notch.Agents
+	// sends no orders. It has at most the given number of connections open.
+	Agents(connections int) notch.Agents
 }
--- a/workflow.go
+++ b/workflow.go
@@ -186,7 +186,7 @@
 const (
 	AgentOK               AgentAnswerKind = "ok"
 	AgentRefused          AgentAnswerKind = "refused" // the agent did nothing; Reason states why
-	AgentBusy             AgentAnswerKind = "busy"    // the agent reported a failure and did nothing
+	AgentBusy             AgentAnswerKind = "busy"    // the agent did nothing: it reported a failure, or wasn't reached
 	AgentWrongIncarnation AgentAnswerKind = "other"   // another agent or incarnation has the address; nothing was done
 	AgentNoAnswer         AgentAnswerKind = "silent"  // no answer: the order may have been carried out, or may still be
 )
@@ -203,6 +203,7 @@
 	ReasonTicket         AgentReason = "ticket" // the agent doesn't accept the ticket of the order
 
 	ReasonMalformed AgentReason = "malformed" // the answer can't be decoded
+	ReasonNotSent   AgentReason = "not-sent"  // there was no connection to the agent in time
 )
 
 // AgentAnswer is an agent's answer to an order.
