Only replicas have links to all daemons

Every daemon had two connections to every other one: 303 descriptors an entry among 150 daemons, 22,000 connections with a ping each 2 s and a keepalive probe each second.

Entries need each other only for the announcements of backend servers. Hellos list replicas only. Weighed: one relay per failure domain as before, which still needs links across; two relays an entry, which doubles its bytes.

--- a/member/member.go
+++ b/member/member.go
@@ -24,11 +24,6 @@
 // DefaultTiming is for backend servers that announce themselves every second.
 var DefaultTiming = Timing{TTL: 5 * time.Second, RenewInterval: 1500 * time.Millisecond, ForgetAfter: time.Hour}
 
-// maxDirectPeers is the number of reachable peers up to which a daemon sends its
-// announcements to every peer. Above it, one daemon in each other failure domain relays
-// them.
-const maxDirectPeers = 12
-
 // peer is the state of another daemon.
 type peer struct {
 	daemon     notch.Daemon
@@ -76,14 +71,14 @@
 	return p
 }
 
-// Hello returns the message with which the daemon opens its links. A daemon that isn't a
-// replica lists only the replicas, from which others learn the rest: if all listed all, the
-// lists that reach a daemon at its start would grow with the square of the daemons.
+// Hello returns the message with which the daemon opens its links. It lists the replicas, to which
+// every daemon opens a link: if all listed all, the lists at the start of a cluster would grow with
+// the square of the daemons.
 func (p Part) Hello() notch.Hello {
 	h := notch.Hello{Daemon: p.self, Storage: p.storage, Cluster: p.cluster}
 	for it := p.peers.Iterator(); !it.Done(); {
 		_, q, _ := it.Next()
-		if p.self.Replica || q.daemon.Replica {
+		if q.daemon.Replica {
 			h.Known = append(h.Known, q.daemon)
 		}
 	}
@@ -159,11 +154,12 @@
 }
 
 // mergeDaemons records the daemons in ds and asks for a link to each of them. It skips
-// those of an older incarnation than the one it knows.
+// those of an older incarnation than the one it knows, and between daemons that aren't replicas
+// there are no links: their number would grow with the square of the daemons.
 func (p Part) mergeDaemons(now notch.Time, ds []notch.Daemon) (Part, []notch.Effect) {
 	var out []notch.Effect
 	for _, d := range ds {
-		if d.Name == p.self.Name {
+		if d.Name == p.self.Name || !d.Replica && !p.self.Replica {
 			continue
 		}
 		old, known := p.peers.Get(d.Name)
@@ -230,21 +226,6 @@
 	return p
 }
 
-// relay sends m on to the daemons of its own failure domain if m.Hops permits a relay.
-func (p Part) relay(from string, m notch.Announcements) []notch.Effect {
-	if m.Hops == 0 {
-		return nil
-	}
-	m.Hops--
-	var out []notch.Effect
-	for _, d := range p.upPeers() {
-		if d.Domain == p.self.Domain && d.Name != from {
-			out = append(out, notch.Send{To: d.Name, Message: m})
-		}
-	}
-	return out
-}
-
 // applyRenewals extends the announcements that m renews by identity. It asks the sender
 // for those that it doesn't know.
 func (p Part) applyRenewals(now notch.Time, from string, m notch.Announcements) (Part, []notch.Effect) {
@@ -365,26 +346,6 @@
 	return slices.Compact(out)
 }
 
-// sendToPeers sends m to every reachable peer. If there are more than maxDirectPeers, it
-// sends m to the peers of its own failure domain and to one relay in each other domain.
-func (p Part) sendToPeers(m notch.Announcements) []notch.Effect {
-	up := p.upPeers()
-	relayed := m
-	relayed.Hops = 1
-	var out []notch.Effect
-	var domains []string
-	for _, d := range up {
-		switch {
-		case len(up) <= maxDirectPeers || d.Domain == p.self.Domain:
-			out = append(out, notch.Send{To: d.Name, Message: m})
-		case !slices.Contains(domains, d.Domain):
-			domains = append(domains, d.Domain)
-			out = append(out, notch.Send{To: d.Name, Message: relayed})
-		}
-	}
-	return out
-}
-
 func (p Part) upPeers() []notch.Daemon {
 	var out []notch.Daemon
 	for it := p.peers.Iterator(); !it.Done(); {
