Nothing is acknowledged while a run is missing that its agent may still start

A start and a renewal were carried out late, by the agent's next incarnation; the run ended there, and the renewal, which acknowledged ends of the incarnation before by their positions, made it forget that end.

While the latest lists lack a run whose start may still be carried out, renewals acknowledge nothing, and the agent, which lists its ends again, is asked after a pause of 100 ms. A renewal that is under way when the start is sent can still be late together with it.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -64,9 +64,17 @@
 	case upTo > session.committedUpTo:
 		session.proposedUpTo, session.committedUpTo = upTo, upTo
 	}
+	// An agent that lists ends which aren't acknowledged yet answers at once.
+	listsAgain := missing && len(b.Answer.Ends) > 0
+	if len(ends) == 0 && listsAgain {
+		session.nextRenewalAt = s.now.Add(missingRunPoll)
+	}
 	s.sessions = s.sessions.Set(a.ID, session)
-	if len(ends) == 0 {
-		s.commitClock(session, b.Answer)
+	if len(ends) > 0 {
+		return
+	}
+	s.commitClock(session, b.Answer)
+	if !listsAgain {
 		s.renewLease(a.ID)
 	}
 }
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -20,7 +20,11 @@
 		// leases of an agent that is gone would never expire. If the agent restarts meanwhile, its
 		// next incarnation would take the acknowledgement for one of its own ends.
 		o.Deadline = session.lease.Deadline(s.now, s.timing.Lease)
-		o.Ack = session.committedUpTo
+		// Nothing is acknowledged either while a run is missing: its start may be carried out by the next
+		// incarnation, which must not forget the end of that run.
+		if !session.missesRuns {
+			o.Ack = session.committedUpTo
+		}
 	}
 	if session.lastAnsweredAt != 0 && session.unanswered == 0 && session.proposedUpTo == session.committedUpTo {
 		o.Wait = s.longPoll(id, session)
