An agent that comes back under another id counts as one loss

The fifth crash was put down to a common cause: four ids of a rack of three agents were lost within 2.5 s, as one of the agents had crashed twice and come back under another id. Losses are counted by address now.

--- a/flow/losses.go
+++ b/flow/losses.go
@@ -41,10 +41,10 @@
 
 // lostTogether reports whether most agents of a group were lost at about the given time.
 func (s *stepper) lostTogether(at notch.Time, inGroup func(notch.Agent) bool) bool {
-	lost := map[string]bool{}
+	lost := map[string]bool{} // by address, which the successor of an agent has as well
 	for _, l := range s.losses {
 		if inGroup(l.agent) && l.at.Sub(at).Abs() <= commonCauseWindow {
-			lost[l.agent.ID] = true
+			lost[l.agent.Address] = true
 		}
 	}
 	if len(lost) < minCommonLosses {
@@ -54,7 +54,7 @@
 	for it := s.sessions.Iterator(); !it.Done(); {
 		id, session, _ := it.Next()
 		a, _ := s.agents.Get(id)
-		if inGroup(a) && !lost[id] && session.startedAt.Before(at) && at.Before(session.lastAnsweredAt) {
+		if inGroup(a) && !lost[a.Address] && session.startedAt.Before(at) && at.Before(session.lastAnsweredAt) {
 			survivors++
 		}
 	}
