--- a/experiment/roles.go
+++ b/experiment/roles.go
@@ -81,7 +81,9 @@
 		corePercent(replicaHeartbeatsPerSecond*(designReplicas-1)*m.replicaHeartbeatCPU), idleMB)
 	add("follower: idle", 2*replicaHeartbeatsPerSecond,
 		replicaHeartbeatsPerSecond*m.replicaHeartbeatBytes/1000, corePercent(replicaHeartbeatsPerSecond*m.replicaHeartbeatCPU), idleMB)
-	add("relay of a failure domain", renewals/12, renewalKB, corePercent(renewals*m.renewalCPU.slope), idleMB)
+	// A replica receives all announcements and sends them to its share of the entries.
+	copies := 1 + float64(designEntries)/designReplicas
+	add("replica: relayed announcements", copies*renewals/12, copies*renewalKB, corePercent(renewals*m.renewalCPU.slope), idleMB)
 	for _, r := range t.Rows {
 		largest := max(r.Values[4], r.Values[5], r.Values[6])
 		t.Checks = append(t.Checks, Check{Name: r.Name + ": largest share of a budget", Measured: largest, Max: 1})
