share: the leader's entries are a persistent map

Each report of an entry copied the map of all entries two or three times: 10% of an idle leader's processor time with 145 entries on loopback.

--- a/share/dump.go
+++ b/share/dump.go
@@ -1,9 +1,6 @@
 package share
 
-import (
-	"maps"
-	"slices"
-)
+import ()
 
 // EntryDump is the state of an entry's lease in GET /v1/state.
 type EntryDump struct {
@@ -48,8 +45,8 @@
 // Dump implements [notch.Dumper].
 func (p Leader) Dump() any {
 	s := LeaderDump{Part: "share-leader", Leading: p.leadership.Leading}
-	for _, key := range slices.Sorted(maps.Keys(p.entries)) {
-		e := p.entries[key]
+	for it := p.entries.Iterator(); !it.Done(); {
+		key, e, _ := it.Next()
 		g := GrantDump{Entry: key, Revision: e.revision, Grant: e.seq, Pending: len(e.pending), Demand: e.demand}
 		for _, n := range e.reported {
 			g.Slots += n
--- a/share/leader.go
+++ b/share/leader.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/benbjohnson/immutable"
+
 	notch "tamaracknotch"
 )
 
@@ -20,8 +22,8 @@
 	history        tablesHistory // ends with tables
 	voters         []string
 	servers        []notch.BackendServer
-	entries        map[string]entryRecord            // by name#incarnation; the map is never modified
-	targets        map[string]map[notch.ServerID]int // slots by entry key and backend server
+	entries        *immutable.SortedMap[string, entryRecord] // by name#incarnation
+	targets        map[string]map[notch.ServerID]int         // slots by entry key and backend server
 	dividedAt      notch.Time
 	inputVersion   uint64 // incremented when an input of the grants changes
 	dividedVersion uint64 // inputVersion at the last division
@@ -39,19 +41,22 @@
 
 // NewLeader returns the part of the replica called self.
 func NewLeader(self string, opts ...LeaderOption) Leader {
-	l := Leader{self: self, timing: DefaultTiming, divider: ByDemand{FloorDivisor: DefaultFloorDivisor}}
+	l := Leader{self: self, entries: noEntries, timing: DefaultTiming, divider: ByDemand{FloorDivisor: DefaultFloorDivisor}}
 	for _, opt := range opts {
 		opt(&l)
 	}
 	return l
 }
 
+// noEntries is an empty map of entries.
+var noEntries = immutable.NewSortedMap[string, entryRecord](nil)
+
 // Step implements [notch.Part].
 func (p Leader) Step(e notch.Event) (notch.Part, []notch.Effect) {
 	switch b := e.Body.(type) {
 	case notch.Leadership:
 		if !b.Leading || b.Term != p.leadership.Term {
-			p.entries, p.targets = nil, nil
+			p.entries, p.targets = noEntries, nil
 		}
 		p.leadership = b
 	case notch.TablesCommitted:
@@ -85,8 +90,8 @@
 // queryResult lists the entries with their revisions and remaining leases.
 func (p Leader) queryResult(now notch.Time) notch.QueryResult {
 	result := notch.QueryResult{Revision: p.tables.Revision, Complete: p.knowsAllLeases(now)}
-	for _, key := range slices.Sorted(maps.Keys(p.entries)) {
-		e := p.entries[key]
+	for it := p.entries.Iterator(); !it.Done(); {
+		_, e, _ := it.Next()
 		result.Entries = append(result.Entries, notch.EntryStatus{Name: e.name, Revision: e.revision, Lease: e.leaseEnd.Sub(now)})
 	}
 	return result
@@ -95,16 +100,14 @@
 // knowsAllLeases reports whether every lease that a former leader granted has ended
 // or has been renewed by this leader.
 func (p Leader) knowsAllLeases(now notch.Time) bool {
-	if p.leadership.Ready == 0 || len(p.entries) == 0 {
+	if p.leadership.Ready == 0 || p.entries.Len() == 0 {
 		return false
 	}
 	return p.leadership.Term <= firstTerm || !now.Before(p.leadership.Ready.Add(withDrift(p.timing.Lease)))
 }
 
 func (p Leader) onLeave(from string) Leader {
-	p.entries = maps.Clone(p.entries)
-	maps.DeleteFunc(p.entries, func(_ string, e entryRecord) bool { return e.name == from })
-	return p.withDivisionDue()
+	return p.withoutEntries(func(e entryRecord) bool { return e.name == from }).withDivisionDue()
 }
 
 // withDivisionDue returns p with a new division of the slots due at the next report.
@@ -123,7 +126,7 @@
 		m.Seq = 0
 	}
 	key := fmt.Sprintf("%s#%d", from, m.Incarnation)
-	e, known := p.entries[key]
+	e, known := p.entries.Get(key)
 	e.name, e.domain = from, m.Domain
 	e, changed, ok := e.withRevision(m).withReport(m)
 	if !ok {
@@ -152,7 +155,7 @@
 		}
 		return p, g
 	}
-	e := p.entries[key]
+	e, _ := p.entries.Get(key)
 	g.Changes = p.history.since(max(m.Revision, e.sentRevision))
 	if len(g.Changes) == 0 {
 		return p, g
@@ -162,8 +165,8 @@
 
 // onPeerDown marks the changes on their way to a daemon as lost, as its link was lost.
 func (p Leader) onPeerDown(name string) Leader {
-	for _, key := range slices.Sorted(maps.Keys(p.entries)) {
-		if e := p.entries[key]; e.name == name && e.sentRevision != 0 {
+	for it := p.entries.Iterator(); !it.Done(); {
+		if key, e, _ := it.Next(); e.name == name && e.sentRevision != 0 {
 			p = p.withEntry(key, e.withChangesLost())
 		}
 	}
@@ -178,25 +181,27 @@
 }
 
 func (p Leader) withEntry(key string, e entryRecord) Leader {
-	p.entries = maps.Clone(p.entries)
-	if p.entries == nil {
-		p.entries = map[string]entryRecord{}
+	p.entries = p.entries.Set(key, e)
+	return p
+}
+
+// withoutEntries drops the entries that match.
+func (p Leader) withoutEntries(match func(entryRecord) bool) Leader {
+	for it := p.entries.Iterator(); !it.Done(); {
+		if key, e, _ := it.Next(); match(e) {
+			p.entries = p.entries.Delete(key)
+		}
 	}
-	p.entries[key] = e
 	return p
 }
 
 // withoutDrained drops the entries whose leases and requests have certainly ended.
 func (p Leader) withoutDrained(now notch.Time) Leader {
-	drained := func(_ string, e entryRecord) bool { return e.drainedAt != 0 && !now.Before(e.drainedAt) }
-	for _, e := range p.entries {
-		if drained("", e) {
-			p.entries = maps.Clone(p.entries)
-			maps.DeleteFunc(p.entries, drained)
-			return p.withDivisionDue()
-		}
+	next := p.withoutEntries(func(e entryRecord) bool { return e.drainedAt != 0 && !now.Before(e.drainedAt) })
+	if next.entries.Len() == p.entries.Len() {
+		return p
 	}
-	return p
+	return next.withDivisionDue()
 }
 
 // unreportedSlotsFree reports whether the leases granted by a former leader, and the
@@ -234,8 +239,8 @@
 	p.dividedAt, p.dividedVersion = now, p.inputVersion
 	p.targets = map[string]map[notch.ServerID]int{}
 	var keys []string
-	for _, key := range slices.Sorted(maps.Keys(p.entries)) {
-		if e := p.entries[key]; e.leaseEnd == 0 || now.Before(e.leaseEnd) {
+	for it := p.entries.Iterator(); !it.Done(); {
+		if key, e, _ := it.Next(); e.leaseEnd == 0 || now.Before(e.leaseEnd) {
 			keys = append(keys, key)
 			p.targets[key] = map[notch.ServerID]int{}
 		}
@@ -260,7 +265,7 @@
 	}
 	var entries []notch.EntryShare
 	for _, key := range keys {
-		e := p.entries[key]
+		e, _ := p.entries.Get(key)
 		share := notch.EntryShare{Entry: key, Domain: e.domain, Demand: e.demand[pool.Name]}
 		for _, s := range servers {
 			share.Held = append(share.Held, e.maxInUse(s.Server))
@@ -283,9 +288,9 @@
 		p.unreportedFree = unreportedFree
 		p.inputVersion++
 	}
-	e := p.entries[key]
+	e, _ := p.entries.Get(key)
 	g := notch.EntryGrant{
-		Term: p.leadership.Term, Base: e.applied.seq, Seq: e.applied.seq, Lease: lease, Entries: len(p.entries),
+		Term: p.leadership.Term, Base: e.applied.seq, Seq: e.applied.seq, Lease: lease, Entries: p.entries.Len(),
 		Voters: p.voters, Revision: p.tables.Revision,
 	}
 	if e.inputVersion != p.inputVersion || len(e.pending) > 0 || e.applied.seq == 0 || p.dividedVersion != p.inputVersion {
@@ -325,13 +330,13 @@
 // may have in use. Unless unreportedFree is set, an entry gets no more slots than it
 // has reported.
 func (p Leader) grantableSlots(key string, unreportedFree bool) map[notch.ServerID]int {
-	e := p.entries[key]
+	e, _ := p.entries.Get(key)
 	slots := map[notch.ServerID]int{}
 	limits := p.slotLimits()
 	for id, target := range p.targets[key] {
 		free := limits[id]
-		for other, o := range p.entries {
-			if other != key {
+		for it := p.entries.Iterator(); !it.Done(); {
+			if other, o, _ := it.Next(); other != key {
 				free -= o.maxInUse(id)
 			}
 		}
