A common cause is judged once for each agent

With 1,800 agents of which most fell silent, the leader spent 27% of its core in commonCause, which looks at all agents and ran for each run that was given up (profile of the same stand-ins after a change of the leader). It runs once for each agent now.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	notch "tamaracknotch"
@@ -188,6 +189,7 @@
 		return nil, false
 	}
 	load, _ := s.loads.Get(a.ID)
+	commonCause := sync.OnceValue(func() bool { return s.commonCause(a) })
 	for _, run := range load.runs {
 		ref := run.ref
 		if isListed(b.Answer, ref) {
@@ -204,7 +206,7 @@
 		}
 		end := notch.RunEnd{Run: ref, Kind: kind}
 		if r.Life != session.incarnation {
-			end.Suspicion = s.suspicionAfter(session, run)
+			end.Suspicion = s.suspicionAfter(session, run, commonCause)
 		}
 		out = append(out, end)
 		s.logMessage("run given up: its agent doesn't list it", runFields(ref, a.ID, string(kind))...)
--- a/flow/suspicion.go
+++ b/flow/suspicion.go
@@ -20,8 +20,8 @@
 )
 
 // suspicionAfter judges a run that is abandoned because its agent's incarnation has ended or is
-// silent.
-func (s *stepper) suspicionAfter(session agentSession, placed agentRun) notch.Suspicion {
+// silent. CommonCause reports whether the agent was lost together with others.
+func (s *stepper) suspicionAfter(session agentSession, placed agentRun, commonCause func() bool) notch.Suspicion {
 	r, ok := s.run(placed.ref)
 	a, known := s.agents.Get(session.incarnation.Agent)
 	if !ok || !known {
@@ -36,7 +36,7 @@
 	switch {
 	case orders.atWorkSince != 0 && lastSign.Sub(orders.atWorkSince) >= probation:
 		return notch.SuspicionCleared
-	case announced || s.commonCause(a):
+	case announced || commonCause():
 		return notch.SuspicionNone
 	}
 	if t, _ := s.task(placed.ref.Task); len(t.Suspects) > 0 {
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	notch "tamaracknotch"
@@ -52,9 +53,11 @@
 	s.sessions = s.sessions.Set(id, session)
 	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(kind)))
 	slices.SortFunc(abandoned, func(a, b agentRun) int { return compareRunRefs(a.ref, b.ref) })
+	a, _ := s.agents.Get(id)
+	commonCause := sync.OnceValue(func() bool { return s.commonCause(a) })
 	var ends []notch.RunEnd
 	for _, r := range abandoned {
-		ends = append(ends, notch.RunEnd{Run: r.ref, Kind: kind, Suspicion: s.suspicionAfter(session, r)})
+		ends = append(ends, notch.RunEnd{Run: r.ref, Kind: kind, Suspicion: s.suspicionAfter(session, r, commonCause)})
 	}
 	s.propose(notch.EndRuns{Life: session.incarnation, Ends: ends})
 }
