Plans wait for the answers to starts

A plan makes fewer placements now by as many as there are starts of the last 250 to 500 ms without an answer, and none with room for fewer than 60.

TestPlansWaitForAnswersToStarts and TestOldStartsDontCountAsUnderWay.

--- a/flow/orders.go
+++ b/flow/orders.go
@@ -72,6 +72,7 @@
 	session.lease = session.lease.WithGrant(o.Deadline)
 	s.sessions = s.sessions.Set(a.ID, session)
 	s.runOrders = s.runOrders.Set(ref, runOrders{})
+	s.startsUnderWay = s.startsUnderWay.withSent(s.now)
 	s.sendOrder(a, o)
 }
 
@@ -148,6 +149,7 @@
 
 // startAnswered handles the answer to a start.
 func (s *stepper) startAnswered(b notch.AgentAnswered) {
+	s.startsUnderWay = s.startsUnderWay.withAnswered(b.SentAt, s.now)
 	ref := b.Order.Run
 	r, ok := s.run(ref)
 	if !ok || r.Life != b.Life {
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -10,7 +10,8 @@
 
 // The limits of one plan. What it didn't reach, it leaves to the next one.
 const (
-	maxPlacements = 500
+	maxPlacements = 500     // less the starts that are under way
+	minPlacements = 60      // with less room than that, a plan waits for answers
 	maxScores     = 100_000 // agents that are scored, once for each group
 )
 
@@ -33,6 +34,10 @@
 	if s.placementsProposedAt != 0 && s.now.Sub(s.placementsProposedAt) < s.timing.ReproposeInterval {
 		return
 	}
+	s.startsUnderWay = s.startsUnderWay.at(s.now)
+	if maxPlacements-s.startsUnderWay.count() < minPlacements {
+		return
+	}
 	if s.placementsProposedAt != 0 {
 		s.planMemory = planMemory{} // the last plan counted on placements that weren't committed
 	}
@@ -51,6 +56,7 @@
 	placer     notch.RunPlacer
 	pools      map[string]*agentViews // by name
 	placed     []notch.RunPlacement
+	limit      int // of placed
 	agentsRead int // number of agents that were read to make views
 	made       notch.PlanMade
 }
@@ -58,7 +64,7 @@
 // assign chooses an agent for each task that fits on one, and reports the plan. Groups are those that
 // are ready among a number that was examined.
 func (s *stepper) assign(groups []readyGroup, examined int) []notch.RunPlacement {
-	p := planner{stepper: s, placer: s.policy.Placer(s.colocationModel), pools: map[string]*agentViews{}}
+	p := planner{stepper: s, placer: s.policy.Placer(s.colocationModel), pools: map[string]*agentViews{}, limit: maxPlacements - s.startsUnderWay.count()}
 	for _, g := range groups {
 		p.made.Ready += g.tasks
 	}
@@ -85,11 +91,11 @@
 	}
 }
 
-// placeUntil places groups until the plan has reached a number of scores or maxPlacements. It
+// placeUntil places groups until the plan has reached a number of scores or its limit of placements. It
 // returns how many groups it dealt with.
 func (p *planner) placeUntil(groups []readyGroup, scores int) int {
 	for i, g := range groups {
-		if p.made.AgentsExamined >= scores || len(p.placed) == maxPlacements {
+		if p.made.AgentsExamined >= scores || len(p.placed) >= p.limit {
 			return i
 		}
 		if pool := p.poolOf(g.workflow); !pool.Standby {
@@ -169,7 +175,7 @@
 		v.hostsSuspect[i] = v.hostsSuspect[i] || len(t.Suspects) > 0
 		scores.Rescore(i)
 		apart.rescore(i)
-		return len(p.placed) < maxPlacements
+		return len(p.placed) < p.limit
 	})
 	p.made.AgentsExamined += v.examined - examined
 }
--- /dev/null
+++ b/flow/underway_test.go
@@ -0,0 +1,71 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	notch "tamaracknotch"
+)
+
+// planned reduces a flush and returns how many placements the plan made; -1 if there was none.
+func (s *testLeader) planned() int {
+	var effects []notch.Effect
+	s.state, effects = notch.Step(s.state, notch.Event{At: s.now, Body: notch.Flush{}})
+	for _, f := range effects {
+		if p, ok := f.(notch.PlanMade); ok {
+			return p.Placed
+		}
+	}
+	return -1
+}
+
+// Guards against a leader that sends starts faster than it hears the answers: with 1,800 agents they were
+// 250 to 350 ms behind, every step of a short job waited as long, and few ended in time.
+func TestPlansWaitForAnswersToStarts(t *testing.T) {
+	const agents, under = 40, 450
+	s := newTestLeader(agents)
+	s.submit("f", 2000)
+	life := func(i int) notch.AgentIncarnation {
+		return notch.AgentIncarnation{Agent: fmt.Sprintf("w%d", i%agents), Born: 1}
+	}
+	var placed []notch.RunPlacement
+	for i := range under {
+		placed = append(placed, notch.RunPlacement{Task: notch.TaskRef{Flow: "f", Index: i}, Life: life(i)})
+	}
+	s.advance(time.Second)
+	s.commit(notch.PlaceRuns{Token: 2, Placements: placed})
+	s.advance(100 * time.Millisecond)
+	if got, want := s.planned(), -1; got != want {
+		t.Errorf("%d starts under way: got a plan with %d placements, want none", under, got)
+	}
+	for i, p := range placed[:400] {
+		s.step(notch.AgentAnswered{
+			Life: life(i), SentAt: s.now.Add(-100 * time.Millisecond), Answer: notch.AgentAnswer{Kind: notch.AgentOK, Born: 1},
+			Order: notch.AgentOrder{Kind: notch.AgentStart, Token: 2 << incarnationBits, Run: notch.RunRef{Task: p.Task, Number: 1}},
+		})
+	}
+	if got, want := s.planned(), maxPlacements-(under-400); got != want {
+		t.Errorf("%d starts under way: got %d placements, want %d", under-400, got, want)
+	}
+}
+
+// Starts to agents that are silent don't keep other agents' runs waiting for long.
+func TestOldStartsDontCountAsUnderWay(t *testing.T) {
+	var u startsUnderWay
+	now := notch.Time(time.Hour)
+	for range 100 {
+		u = u.withSent(now)
+	}
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 100}, {startWindow, 100}, {2*startWindow - 1, 100}, {2 * startWindow, 0}} {
+		if got := u.at(now.Add(c.after)).count(); got != c.want {
+			t.Errorf("after %v: got %d under way, want %d", c.after, got, c.want)
+		}
+	}
+	if got, want := u.withAnswered(now, now.Add(startWindow)).count(), 99; got != want {
+		t.Errorf("got %d under way after an answer, want %d", got, want)
+	}
+}
