Test of log messages: a phase in which single orders are late

With 0.7 of all orders late, leases expire first. A phase with 0.3 late follows now; all messages are asked for as before.

--- a/fake/logmessages_test.go
+++ b/fake/logmessages_test.go
@@ -29,9 +29,18 @@
 		w.Run(200 * time.Millisecond)
 	}
 	w.Run(8 * time.Second)
+	// Starts that are late one by one, so that an agent answers and lacks a run.
+	for _, x := range w.agents {
+		x.LateShare = 0.3
+	}
+	for range 12 {
+		w.submitOrRepeat()
+		w.Run(200 * time.Millisecond)
+	}
 	for _, x := range w.agents {
 		x.LateShare = 0
 	}
+	w.Run(4 * time.Second)
 	w.Kill(wiped)
 	w.Wipe(wiped)
 	w.Start(wiped)
