A leave message doesn't end an agent's runs: their lease does

Cause: for an agent whose leave was committed, one unanswered lease renewal and 0.5 s were taken as the end of its runs, whatever lease it had. The same path took an answer from another incarnation at the address (421) for the end, and a new leader did so 0.5 s after its election, with no contact at all to the agent.

Change: the runs of a silent agent end with its leases, whether or not it has announced that it leaves. A refused connection was weighed as a second proof and not taken: a cut may refuse connections to an agent that is up.

--- a/fake/agent.go
+++ b/fake/agent.go
@@ -15,6 +15,7 @@
 	Up          bool
 	CutOff      bool                                  // all its calls and answers are lost
 	AnswersLost bool                                  // it carries out orders, and all its answers are lost
+	Deaf        bool                                  // no orders reach it; what it announces arrives
 	LateShare   float64                               // fraction of the orders that get no answer and are carried out late
 	Broken      bool                                  // every run fails
 	Unguarded   bool                                  // it starts whatever it is ordered to, also beyond its size
@@ -89,13 +90,10 @@
 
 // KillAgent crashes an agent. Its runs end without a report.
 func (s *Testbed) KillAgent(a *Agent) {
-	a.Up = false
-	a.generation++
 	for ref := range a.runs {
-		s.workflowChecker.runEnded(ref, false)
 		s.workflowChecker.crashes[ref.Task]++
 	}
-	clear(a.runs)
+	s.endAgent(a)
 }
 
 // crashAgent crashes an agent, which comes back after agentRestartTime.
@@ -107,14 +105,19 @@
 			return
 		}
 		if a.NewID {
-			delete(s.Agents, a.ID)
-			a.ID = fmt.Sprintf("%s-%d", a.Address, a.generation)
-			s.Agents[a.ID] = a
+			s.renameAgent(a)
 		}
 		s.StartAgent(a)
 	})
 }
 
+// renameAgent gives an agent that is down a new id.
+func (s *Testbed) renameAgent(a *Agent) {
+	delete(s.Agents, a.ID)
+	a.ID = fmt.Sprintf("%s-%d", a.Address, a.generation)
+	s.Agents[a.ID] = a
+}
+
 // ResizeAgent changes the size of an agent while it runs. What it announces next shows it.
 func (s *Testbed) ResizeAgent(a *Agent, size notch.Resources) {
 	a.formerSizes = append(a.formerSizes, formerSize{size: a.Size, until: s.Now() + maxSizeChangeDelay})
@@ -150,18 +153,24 @@
 	if a.generation != generation {
 		return
 	}
+	s.sendAnnouncement(a, a.Agent)
+	s.After(agentAnnouncePeriod, func() { s.announceAgent(a, generation) })
+}
+
+// sendAnnouncement sends what an agent says of itself to a random replica, unless it is cut off.
+func (s *Testbed) sendAnnouncement(a *Agent, announced notch.Agent) {
 	var replicas []*drive.Node
 	for _, n := range s.Up() {
 		if n.Self.Replica {
 			replicas = append(replicas, n)
 		}
 	}
-	if len(replicas) > 0 && !a.CutOff {
-		n := replicas[s.Rand.IntN(len(replicas))]
-		s.lastTicket++
-		s.Post(n, notch.AgentAnnounced{Ticket: s.lastTicket, Agent: a.Agent, Deadline: s.Time(n).Add(agentAnnouncePeriod)})
+	if len(replicas) == 0 || a.CutOff {
+		return
 	}
-	s.After(agentAnnouncePeriod, func() { s.announceAgent(a, generation) })
+	n := replicas[s.Rand.IntN(len(replicas))]
+	s.lastTicket++
+	s.Post(n, notch.AgentAnnounced{Ticket: s.lastTicket, Agent: announced, Deadline: s.Time(n).Add(agentAnnouncePeriod)})
 }
 
 // checkAgentLease ends all runs once the lease has expired. It repeats every 20 ms.
@@ -224,7 +233,7 @@
 		reply = func(notch.AgentAnswer) {}
 	}
 	s.After(agentNetworkDelay, func() {
-		if !a.Up || a.CutOff {
+		if !a.Up || a.CutOff || a.Deaf {
 			return
 		}
 		// An order names the agent, not its incarnation: if it is delayed, a later one may carry it out.
--- a/fake/workflow_test.go
+++ b/fake/workflow_test.go
@@ -17,6 +17,7 @@
 	agents   []*Agent
 	ids      []string
 	accepted map[string]bool
+	leaving  bool // agents also leave, some of them unheard
 }
 
 const maxTaskFailures = 3
@@ -114,6 +115,10 @@
 // changeAgentFailures causes or ends one failure of a random agent, or drains it.
 func (w *workflowTest) changeAgentFailures() {
 	x := w.agents[w.Rand.IntN(len(w.agents))]
+	if w.leaving && w.Rand.IntN(3) == 0 {
+		w.leave(x)
+		return
+	}
 	switch w.Rand.IntN(8) {
 	case 0:
 		w.KillAgent(x)
@@ -137,7 +142,7 @@
 // workflows that an agent started late are gone, also without a restart of the agent.
 func (w *workflowTest) endAllFailures() {
 	for _, x := range w.agents {
-		x.CutOff, x.LateShare, x.Broken = false, 0, false
+		x.CutOff, x.Deaf, x.LateShare, x.Broken = false, false, 0, false
 		if !x.Up {
 			w.StartAgent(x)
 		}
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -145,10 +145,6 @@
 		}
 		s.startSession(a, ok)
 	}
-	if session, known := s.sessions.Get(a.ID); known && a.Left {
-		session.leftAt = s.now
-		s.sessions = s.sessions.Set(a.ID, session)
-	}
 }
 
 // placeRuns adds the placed runs, and sends their starts if this leader placed them. It skips the
--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -62,14 +62,10 @@
 		if a.Left && len(load.runs) == 0 {
 			continue
 		}
-		session := agentSession{
+		s.sessions = s.sessions.Set(a.ID, agentSession{
 			incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: s.formerLease(a, formerLeasesEnd),
 			staleOrdersUntil: l.Ready.Add(maxOrderDelay), // the agent may have restarted just before
-		}
-		if a.Left {
-			session.leftAt = l.Ready
-		}
-		s.sessions = s.sessions.Set(a.ID, session)
+		})
 		s.renewLease(a.ID)
 	}
 	s.needsPlan = true
--- a/flow/session.go
+++ b/flow/session.go
@@ -29,7 +29,6 @@
 	noRunsBefore          notch.Time // no new runs are placed before then
 	endsProposedAt        notch.Time // when the ends of abandoned runs were last proposed
 	staleOrdersUntil      notch.Time // until then, orders to an earlier incarnation may take effect in this one
-	leftAt                notch.Time // when its leave message was committed, or its leader was ready if that was later; zero: it hasn't left
 }
 
 // agentClock is a reading of the clock of one incarnation of an agent.
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sync"
-	"time"
 
 	notch "tamaracknotch"
 )
@@ -31,13 +30,11 @@
 	}
 }
 
-// abandonRuns ends the runs of an agent that has left or whose leases have expired.
+// abandonRuns ends the runs of an agent that doesn't answer, once its leases have expired. Nothing
+// else proves their end: an agent that sent its leave message, or whose address refuses connections,
+// may run on until then.
 func (s *stepper) abandonRuns(id string, session agentSession, runs []agentRun) {
-	kind := notch.RunLeaseExpired
-	switch {
-	case session.leftAt != 0 && s.now.Sub(session.leftAt) > leaveGrace && session.unanswered > 0:
-		kind = notch.RunLost
-	case session.unanswered == 0 || !session.lease.Expired(s.now):
+	if session.unanswered == 0 || !session.lease.Expired(s.now) {
 		return
 	}
 	var abandoned []agentRun
@@ -51,13 +48,13 @@
 	}
 	session.endsProposedAt = s.now
 	s.sessions = s.sessions.Set(id, session)
-	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(kind)))
+	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(notch.RunLeaseExpired)))
 	slices.SortFunc(abandoned, func(a, b agentRun) int { return compareRunRefs(a.ref, b.ref) })
 	a, _ := s.agents.Get(id)
 	commonCause := sync.OnceValue(func() bool { return s.commonCause(a) })
 	var ends []notch.RunEnd
 	for _, r := range abandoned {
-		ends = append(ends, notch.RunEnd{Run: r.ref, Kind: kind, Suspicion: s.suspicionAfter(session, r, commonCause)})
+		ends = append(ends, notch.RunEnd{Run: r.ref, Kind: notch.RunLeaseExpired, Suspicion: s.suspicionAfter(session, r, commonCause)})
 	}
 	s.propose(notch.EndRuns{Life: session.incarnation, Ends: ends})
 }
@@ -72,6 +69,3 @@
 	orders, _ := s.runOrders.Get(ref)
 	return orders.startOutcome != notch.AgentOK && s.now.Before(session.staleOrdersUntil)
 }
-
-// leaveGrace is how long an agent may take to end its runs after its leave message.
-const leaveGrace = 500 * time.Millisecond
