An agent's leave is answered once its runs have been stopped

Cause: an agent ends with all that it runs as soon as its leave message is answered, and the answer was sent before anybody asked it for the ends. No proof of its end comes after that: a refused connection may be a cut.

Change: the agent still listens while it waits for the answer. The runs go on elsewhere from where they were saved. An agent that isn't heard any more keeps its lease.

Scripts can name the call that a command was committed for.

--- a/fake/agent.go
+++ b/fake/agent.go
@@ -153,12 +153,13 @@
 	if a.generation != generation {
 		return
 	}
-	s.sendAnnouncement(a, a.Agent)
+	s.sendAnnouncement(a, a.Agent, nil)
 	s.After(agentAnnouncePeriod, func() { s.announceAgent(a, generation) })
 }
 
-// sendAnnouncement sends what an agent says of itself to a random replica, unless it is cut off.
-func (s *Testbed) sendAnnouncement(a *Agent, announced notch.Agent) {
+// sendAnnouncement sends what an agent says of itself to a random replica, unless it is cut off. Heard is
+// called with the answer, unless it is nil.
+func (s *Testbed) sendAnnouncement(a *Agent, announced notch.Agent, heard func(notch.Effect)) {
 	var replicas []*drive.Node
 	for _, n := range s.Up() {
 		if n.Self.Replica {
@@ -170,6 +171,9 @@
 	}
 	n := replicas[s.Rand.IntN(len(replicas))]
 	s.lastTicket++
+	if heard != nil {
+		s.pendingCalls[s.lastTicket] = heard
+	}
 	s.Post(n, notch.AgentAnnounced{Ticket: s.lastTicket, Agent: announced, Deadline: s.Time(n).Add(agentAnnouncePeriod)})
 }
 
--- a/fake/agentleave.go
+++ b/fake/agentleave.go
@@ -6,17 +6,26 @@
 	notch "tamaracknotch"
 )
 
-// LeaveAgent lets an agent send its leave message. It ends after the given time; until then its runs
-// go on. An agent ends at once when its leave message is acknowledged, and some seconds later if it isn't.
-func (s *Testbed) LeaveAgent(a *Agent, endsAfter time.Duration) {
+// unheardLeaveTime is how long an agent goes on after a leave message that isn't acknowledged.
+const unheardLeaveTime = 4 * time.Second
+
+// LeaveAgent lets an agent send its leave message. It ends once the message is acknowledged, or
+// unheardLeaveTime later if the acknowledgement doesn't arrive; until then its runs go on.
+func (s *Testbed) LeaveAgent(a *Agent, acknowledged bool) {
 	a.Draining = true
-	leave := notch.Agent{ID: a.ID, Born: a.Born, Draining: true, Left: true}
 	generation := a.generation
-	s.sendAnnouncement(a, leave)
-	s.After(endsAfter, func() {
+	end := func() {
 		if a.generation == generation {
 			s.endAgent(a)
 		}
+	}
+	s.After(unheardLeaveTime, end)
+	leave := notch.Agent{ID: a.ID, Born: a.Born, Draining: true, Left: true}
+	s.sendAnnouncement(a, leave, func(f notch.Effect) {
+		refused, _ := f.(notch.Answer)
+		if acknowledged && refused.Err == nil && !a.CutOff {
+			s.After(agentNetworkDelay, end)
+		}
 	})
 }
 
--- a/fake/fake.go
+++ b/fake/fake.go
@@ -145,6 +145,7 @@
 	case notch.CallAgent:
 		s.sendOrder(n, f)
 	case notch.AnswerAgent:
+		s.completeCall(f.Ticket, f)
 	case notch.Dispatch:
 		s.handleDispatch(n, f)
 	case notch.Refuse:
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -28,6 +28,14 @@
 		r = s.cancel(c.ID, e.At)
 	case notch.AdmitAgent:
 		s.admitAgent(c.Agent, e.At)
+		s.needsPlan = true
+		answer := notch.Applied{Origin: e.Origin, Ticket: e.Ticket, Result: r}
+		if c.Agent.Left {
+			s.leaveCommitted(c.Agent.ID, answer)
+		} else {
+			s.emit(answer)
+		}
+		return
 	case notch.PlaceRuns:
 		s.placeRuns(c, e.At)
 	case notch.EndRuns:
@@ -206,6 +214,7 @@
 		s.agentClocks = s.agentClocks.Set(c.Life.Agent, agentClock{c.Life, lease.NewAgentClock(c.Clock, s.now)})
 	}
 	s.endsCommitted(c)
+	s.answerLeaves()
 }
 
 // endRun applies the end of one run. The end of a run that isn't known to be live was applied
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -96,6 +96,8 @@
 	// Learned from the replicated log, with the times at which this replica applied it:
 	agentClocks *immutable.Map[string, agentClock] // by agent
 
+	leaveAnswers []leaveAnswer // that wait, on every replica that applied the leave message; never modified in place
+
 	// Known to the leader only:
 	leadership           notch.Leadership
 	incarnations         uint64 // number of agent incarnations met in this term
@@ -193,6 +195,7 @@
 	case notch.QueryReceived:
 		s.answerQuery(b)
 	case notch.Tick:
+		s.answerLeaves()
 		s.tick()
 		// The plan waits for the flush after the queued events. Ticks go before these, so plans at
 		// ticks that took longer than a tick would leave them no time.
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 
 	notch "tamaracknotch"
@@ -48,9 +49,10 @@
 	}
 	session.endsProposedAt = s.now
 	s.sessions = s.sessions.Set(id, session)
-	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(notch.RunLeaseExpired)))
-	slices.SortFunc(abandoned, func(a, b agentRun) int { return compareRunRefs(a.ref, b.ref) })
 	a, _ := s.agents.Get(id)
+	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(notch.RunLeaseExpired)),
+		notch.IntField("runs", len(abandoned)), notch.TextField("left", strconv.FormatBool(a.Left)))
+	slices.SortFunc(abandoned, func(a, b agentRun) int { return compareRunRefs(a.ref, b.ref) })
 	commonCause := sync.OnceValue(func() bool { return s.commonCause(a) })
 	var ends []notch.RunEnd
 	for _, r := range abandoned {
--- a/script/step.go
+++ b/script/step.go
@@ -104,7 +104,7 @@
 //	event NAME [JSON]        applies an event
 //	ticks N DURATION         lets N ticks occur, each DURATION after the one before
 //	message FROM NAME [JSON] applies a message from another daemon
-//	commit INDEX NAME [JSON] applies a committed command
+//	commit INDEX[:TICKET] NAME [JSON] applies a command that was committed for the daemon's call TICKET, 7 by default
 //
 // NAME is the name of a type, and JSON an object with its fields by name.
 // Event, ticks, message and commit print the effects, one per line, or "none", which the
@@ -146,8 +146,13 @@
 		}),
 		"commit": with(func(s *stepState, ts *testscript.TestScript, args []string) {
 			e := notch.LogEntry{At: s.now, Origin: "a", Ticket: 7, Command: parseValue[notch.Command](ts, args[1:])}
-			_, err := fmt.Sscan(args[0], &e.Index)
+			index, ticket, given := strings.Cut(args[0], ":")
+			_, err := fmt.Sscan(index, &e.Index)
 			ts.Check(err)
+			if given {
+				_, err = fmt.Sscan(ticket, &e.Ticket)
+				ts.Check(err)
+			}
 			s.step(ts, notch.Committed{Entry: e})
 		}),
 	}
