An entry that leaves with requests in flight keeps its slots

After a crash the same slots wait for the lease and the longest request. The message also named no incarnation, so one that arrives late took the slots from the next process of its sender.

Change: the stop reports whether requests are in flight, and then no leave message is sent; the slots become free as after a crash. The message names its incarnation (an earlier build's names none and counts as before).

Evidence: script share-leave fails before at "no match for ^none$".

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -304,7 +304,7 @@
 // load balancer has noticed. Then it accepts no new connections from callers and
 // waits for the requests in flight, at most for the stop timeout. Finally it transfers
 // leadership if it leads, and sends the leader a leave message, so that other entries
-// get its slots. Every call returns the outcome of the first; Kill cuts it short.
+// get its slots; not while requests are still in flight. Every call returns the outcome of the first; Kill cuts it short.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.stopOnce.Do(func() { d.stopErr = d.stop(ctx) })
 	return d.stopErr
@@ -320,7 +320,7 @@
 		defer cancel()
 		err = errors.Wrap(d.callerServer.Shutdown(drainCtx), "requests were still in flight after --stop-timeout")
 	}
-	d.engine.Post(notch.ShutdownStarted{})
+	d.engine.Post(notch.ShutdownStarted{InFlight: err != nil})
 	d.pause(context.WithoutCancel(ctx), leaveDelay)
 	d.close()
 	d.log.WithField("daemon", d.settings.Name).Info("stopped")
--- a/event.go
+++ b/event.go
@@ -71,8 +71,10 @@
 // SnapshotSaved reports that the snapshot at Index is synced.
 type SnapshotSaved struct{ Index uint64 }
 
-// ShutdownStarted reports that the process was asked for a graceful stop.
-type ShutdownStarted struct{}
+// ShutdownStarted reports that the process was asked for a graceful stop and ends soon.
+type ShutdownStarted struct {
+	InFlight bool // requests are still in flight; backend servers may work on them for longer than the process lasts
+}
 
 // CommandSubmitted reports that a front end of this daemon submitted a command.
 type CommandSubmitted struct {
--- a/message.go
+++ b/message.go
@@ -96,8 +96,10 @@
 	Known   []Daemon // other daemons that the sender knows; of a daemon that isn't a replica, only the replicas
 }
 
-// LeaveMessage announces that the sender stops and returns its slots.
-type LeaveMessage struct{}
+// LeaveMessage announces that the sender stops and returns its slots. None of its requests is in flight.
+type LeaveMessage struct {
+	Incarnation uint64 // of the sender; 0: an earlier build, which doesn't tell it
+}
 
 // Announcements passes on what backend servers announced. Announcements that are
 // new or changed are sent whole, the others by their identity alone.
--- a/script/step.go
+++ b/script/step.go
@@ -76,7 +76,7 @@
 // namedTypes holds the types of which a script can write values, by name.
 var namedTypes = typesByName(
 	notch.Tick{}, notch.Flush{}, notch.PeerUp{}, notch.PeerDown{}, notch.Recovered{}, notch.Persisted{}, notch.PersistFailed{},
-	notch.ServerAnnounced{}, notch.TablesReceived{}, notch.TablesInForce{}, notch.TablesCommitted{}, notch.ServersChanged{},
+	notch.ServerAnnounced{}, notch.TablesReceived{}, notch.TablesInForce{}, notch.TablesCommitted{}, notch.ServersChanged{}, notch.ShutdownStarted{},
 	notch.SlotsGranted{}, notch.LeaseExtended{}, notch.Leadership{}, notch.LeaderChanged{}, notch.RequestArrived{},
 	notch.AttemptEnded{}, notch.CallerGone{}, notch.HedgeDue{}, notch.LaneLoad{}, notch.ReplicaLinked{}, notch.HeartbeatReceived{},
 	notch.VoteRequest{}, notch.VoteReply{}, notch.AppendRequest{}, notch.AppendReply{}, notch.LeaderQuery{}, notch.LeaderHint{},
--- a/share/entry.go
+++ b/share/entry.go
@@ -71,8 +71,8 @@
 		return p.onLaneLoad(e.At, b)
 	case notch.ShutdownStarted:
 		p.stopping = true
-		if p.leader != "" {
-			return p, []notch.Effect{notch.Send{To: p.leader, Message: notch.LeaveMessage{}}}
+		if p.leader != "" && !b.InFlight {
+			return p, []notch.Effect{notch.Send{To: p.leader, Message: notch.LeaveMessage{Incarnation: p.self.Incarnation}}}
 		}
 	case notch.MessageReceived:
 		switch m := b.Message.(type) {
--- a/share/entry_record.go
+++ b/share/entry_record.go
@@ -10,6 +10,7 @@
 // entryRecord is the leader's record of one incarnation of an entry.
 type entryRecord struct {
 	name         string
+	incarnation  uint64
 	domain       string
 	revision     uint64
 	leaseEnd     notch.Time             // by the leader's clock, with an allowance for drift
--- a/share/leader.go
+++ b/share/leader.go
@@ -81,7 +81,7 @@
 		case notch.EntryReport:
 			return p.onReport(e.At, b.From, m)
 		case notch.LeaveMessage:
-			return p.onLeave(b.From), nil
+			return p.onLeave(b.From, m), nil
 		}
 	}
 	return p, nil
@@ -106,8 +106,11 @@
 	return p.leadership.Term <= firstTerm || !now.Before(p.leadership.Ready.Add(withDrift(p.timing.Lease)))
 }
 
-func (p Leader) onLeave(from string) Leader {
-	return p.withoutEntries(func(e entryRecord) bool { return e.name == from }).withDivisionDue()
+// onLeave frees the slots of an entry that has left.
+func (p Leader) onLeave(from string, m notch.LeaveMessage) Leader {
+	return p.withoutEntries(func(e entryRecord) bool {
+		return e.name == from && (m.Incarnation == 0 || e.incarnation == m.Incarnation)
+	}).withDivisionDue()
 }
 
 // withDivisionDue returns p with a new division of the slots due at the next report.
@@ -127,7 +130,7 @@
 	}
 	key := fmt.Sprintf("%s#%d", from, m.Incarnation)
 	e, known := p.entries.Get(key)
-	e.name, e.domain = from, m.Domain
+	e.name, e.incarnation, e.domain = from, m.Incarnation, m.Domain
 	e, changed, ok := e.withRevision(m).withReport(m)
 	if !ok {
 		reply := notch.EntryGrant{Incarnation: m.Incarnation, Term: p.leadership.Term, AskFull: true, SentAt: m.SentAt}
