--- /dev/null
+++ b/outbound/outbound.go
@@ -0,0 +1,130 @@
+// Package outbound sends calls over HTTP/1.1 to many peers, over a bounded number of connections that it
+// keeps open. Nothing is sent twice, and the caller learns whether a call that failed was sent at all.
+package outbound
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// ErrNotSent is the error of a call of which nothing was sent, as there was no connection in time.
+var ErrNotSent = errors.New("the call wasn't sent")
+
+// The limits of calls and connections.
+const (
+	dialTimeout      = 800 * time.Millisecond
+	bufferBytes      = 4 << 10 // of a call and of an answer; longer ones are written and read in parts
+	maxAnswerBytes   = 4 << 20
+	defaultMaxOpen   = 1024
+	defaultPerPeer   = 4
+	keepAliveProbe   = time.Second // of an idle connection, and between probes
+	keepAliveUnheard = 2           // probes without an answer after which a connection has failed
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client sends calls. Its methods may be called on several goroutines.
+type Client struct {
+	pool    *pool
+	readers sync.Pool
+	writers sync.Pool
+}
+
+// Option configures a new Client.
+type Option func(*pool)
+
+// WithMaxOpen limits the number of connections that are open at a time.
+func WithMaxOpen(n int) Option { return func(p *pool) { p.maxOpen = n } }
+
+// WithMaxPerPeer limits the number of connections to one address.
+func WithMaxPerPeer(n int) Option { return func(p *pool) { p.maxPerPeer = n } }
+
+// WithDial replaces the function that opens connections.
+func WithDial(dial DialFunc) Option { return func(p *pool) { p.dial = dial } }
+
+// New returns a client without connections.
+func New(opts ...Option) *Client {
+	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: keepAliveUnheard,
+	}}
+	return &Client{
+		pool:    newPool(dialer.DialContext, opts),
+		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }},
+		writers: sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }},
+	}
+}
+
+// Call is one call: a POST with a JSON body.
+type Call struct {
+	Address string // of the peer, an IP number with a port
+	Path    string
+	Header  [2]string // name and value of one more header; empty: none
+	Body    []byte
+	Timeout time.Duration // until the whole answer has arrived
+}
+
+// Post sends a call and passes the answer's status and body on to read. The body is valid until read
+// returns. The error is ErrNotSent if nothing was sent; after any other one the peer may have carried out
+// the call, or may still do so.
+func (c *Client) Post(call Call, read func(status int, body []byte)) error {
+	deadline := time.Now().Add(call.Timeout)
+	conn, err := c.pool.get(call.Address, deadline)
+	if err != nil {
+		return errors.Wrap(ErrNotSent, err.Error())
+	}
+	reusable, err := c.exchange(conn, call, deadline, read)
+	c.pool.put(conn, reusable)
+	return err
+}
+
+// exchange sends a call over a connection and reads the answer. It reports whether the connection may be
+// used again.
+func (c *Client) exchange(conn *peerConn, call Call, deadline time.Time, read func(int, []byte)) (reusable bool, err error) {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return false, errors.Wrap(ErrNotSent, err.Error())
+	}
+	if err := c.send(conn, call); err != nil {
+		return false, errors.Wrap(err, "send")
+	}
+	res := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(res)
+	r := c.readers.Get().(*bufio.Reader)
+	defer c.readers.Put(r)
+	r.Reset(conn)
+	if err := res.ReadLimitBody(r, maxAnswerBytes); err != nil {
+		return false, errors.Wrap(err, "read the answer")
+	}
+	read(res.StatusCode(), res.Body())
+	return !res.ConnectionClose() && r.Buffered() == 0, nil
+}
+
+// send writes a call to a connection.
+func (c *Client) send(conn net.Conn, call Call) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetRequestURI(call.Path)
+	req.Header.SetHost(call.Address)
+	req.Header.SetContentType("application/json")
+	if call.Header[0] != "" {
+		req.Header.Set(call.Header[0], call.Header[1])
+	}
+	req.SetBodyRaw(call.Body)
+	w := c.writers.Get().(*bufio.Writer)
+	defer c.writers.Put(w)
+	w.Reset(conn)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// Close closes the connections that no call uses.
+func (c *Client) Close() { c.pool.closeIdle() }
--- /dev/null
+++ b/outbound/outbound_test.go
@@ -0,0 +1,156 @@
+package outbound
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// servePeer starts a peer that answers with handle, and returns its address.
+func servePeer(t *testing.T, handle http.HandlerFunc) string {
+	s := httptest.NewServer(handle)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// post sends a call with a timeout and returns the status and body of the answer.
+func post(c *Client, address string, timeout time.Duration) (status int, body string, err error) {
+	err = c.Post(Call{Address: address, Path: "/x", Header: [2]string{"X-Name", "n"}, Body: []byte("{}"), Timeout: timeout}, func(s int, b []byte) {
+		status, body = s, string(b)
+	})
+	return status, body, err
+}
+
+func TestPost(t *testing.T) {
+	address := servePeer(t, func(w http.ResponseWriter, r *http.Request) {
+		if got, want := r.Method+" "+r.URL.Path+" "+r.Header.Get("X-Name")+" "+r.Header.Get("Content-Type"), "POST /x n application/json"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+		w.WriteHeader(http.StatusConflict)
+		w.Write([]byte("no"))
+	})
+	status, body, err := post(New(), address, time.Second)
+	if status != http.StatusConflict || body != "no" || err != nil {
+		t.Errorf("got %d, %q and %v", status, body, err)
+	}
+}
+
+// TestUnsentCallIsToldApart guards against a call that waits for its outcome although nothing was sent.
+func TestUnsentCallIsToldApart(t *testing.T) {
+	closed := servePeer(t, nil)
+	l, err := net.Listen("tcp", closed[:strings.LastIndex(closed, ":")]+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := l.Addr().String()
+	l.Close()
+	silent := WithDial(func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() })
+	for name, c := range map[string]*Client{"refused": New(), "silent": New(silent)} {
+		if _, _, err := post(c, refused, 50*time.Millisecond); !errors.Is(err, ErrNotSent) {
+			t.Errorf("%s: got %v, want %v", name, err, ErrNotSent)
+		}
+	}
+	busy := New(WithMaxPerPeer(1))
+	arrived, held := make(chan bool), make(chan bool)
+	address := servePeer(t, func(http.ResponseWriter, *http.Request) { arrived <- true; <-held })
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if _, _, err := post(busy, address, 300*time.Millisecond); err == nil || errors.Is(err, ErrNotSent) {
+			t.Errorf("a call without an answer: got %v, want an error other than %v", err, ErrNotSent)
+		}
+	})
+	<-arrived
+	if _, _, err := post(busy, address, 20*time.Millisecond); !errors.Is(err, ErrNotSent) {
+		t.Errorf("all connections in use: got %v, want %v", err, ErrNotSent)
+	}
+	wg.Wait()
+	close(held)
+}
+
+// TestCallIsSentOnce guards against a call that is sent again because its connection ended before the
+// answer: the peer may have carried it out (TWICE).
+func TestCallIsSentOnce(t *testing.T) {
+	var calls atomic.Int64
+	address := servePeer(t, func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	c := New()
+	if _, _, err := post(c, address, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := post(c, address, time.Second); err == nil || errors.Is(err, ErrNotSent) {
+		t.Errorf("got %v, want an error other than %v", err, ErrNotSent)
+	}
+	if got, want := calls.Load(), int64(2); got != want {
+		t.Errorf("calls that arrived: got %d, want %d", got, want)
+	}
+}
+
+// TestClosedConnectionIsNotUsed guards against calls whose outcome is unknown because their peer had closed
+// the idle connection long before.
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() { // answers one call on each connection, and closes it
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			http.ReadRequest(bufio.NewReader(conn))
+			conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			conn.Close()
+		}
+	}()
+	c := New()
+	for i := range 3 {
+		if status, _, err := post(c, l.Addr().String(), time.Second); err != nil || status != http.StatusOK {
+			t.Errorf("call %d: got %d and %v", i, status, err)
+		}
+		time.Sleep(maxUnchecked + 20*time.Millisecond)
+	}
+}
+
+// TestIdleConnectionsMakeRoom guards against calls to one peer that wait for the idle connections of others.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	answer := func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok")) }
+	c := New(WithMaxOpen(2))
+	var addresses []string
+	for range 5 {
+		addresses = append(addresses, servePeer(t, answer))
+	}
+	for i := range 20 {
+		if _, body, err := post(c, addresses[i%len(addresses)], time.Second); body != "ok" || err != nil {
+			t.Errorf("call %d: got %q and %v", i, body, err)
+		}
+	}
+	if got, want := len(c.pool.peers), 2; got != want {
+		t.Errorf("peers that are remembered: got %d, want %d", got, want)
+	}
+	c.Close()
+	if got, want := len(c.pool.peers), 0; got != want {
+		t.Errorf("peers that are remembered after Close: got %d, want %d", got, want)
+	}
+}
+
+func ExampleClient_Post() {
+	c := New(WithMaxOpen(100))
+	defer c.Close()
+	err := c.Post(Call{Address: "127.0.0.1:1", Path: "/start", Body: []byte("{}"), Timeout: time.Second}, func(int, []byte) {})
+	if errors.Is(err, ErrNotSent) {
+		println("may be sent to another peer")
+	}
+}
--- /dev/null
+++ b/outbound/pool.go
@@ -0,0 +1,257 @@
+package outbound
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+	"golang.org/x/sys/unix"
+)
+
+// How long connections stay idle.
+const (
+	maxIdle      = 10 * time.Second       // until they are closed
+	maxUnchecked = 300 * time.Millisecond // until it is checked whether the peer has closed them, before they are used
+)
+
+// pool holds the connections to all peers. At most maxOpen are open; when all are, the one that is idle for
+// the longest makes room for another peer's.
+type pool struct {
+	maxOpen, maxPerPeer int
+	dial                DialFunc
+	open                *semaphore.Weighted // connections that are open or being opened
+
+	mu      sync.Mutex
+	peers   map[string]*peer
+	idle    *list.List // of *peerConn, the longest idle first
+	waiting int        // calls that wait for another connection to be closed
+}
+
+// peer is what the pool knows of one address.
+type peer struct {
+	calls *semaphore.Weighted // calls under way, each of which has a connection or is about to
+	users int                 // calls under way or waiting
+	idle  []*peerConn         // the latest used last
+}
+
+// peerConn is a connection to a peer.
+type peerConn struct {
+	net.Conn
+	address   string
+	idleSince time.Time
+	element   *list.Element // in pool.idle; nil: in use
+}
+
+func newPool(dial DialFunc, opts []Option) *pool {
+	p := &pool{maxOpen: defaultMaxOpen, maxPerPeer: defaultPerPeer, dial: dial, peers: map[string]*peer{}, idle: list.New()}
+	for _, opt := range opts {
+		opt(p)
+	}
+	p.open = semaphore.NewWeighted(int64(p.maxOpen))
+	return p
+}
+
+// get returns a connection to an address, for the caller alone. It must be put back.
+func (p *pool) get(address string, deadline time.Time) (*peerConn, error) {
+	x := p.enter(address)
+	ctx, cancel := context.Background(), func() {}
+	if !x.calls.TryAcquire(1) {
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		if err := x.calls.Acquire(ctx, 1); err != nil {
+			cancel()
+			p.leave(address)
+			return nil, errors.Wrap(err, "wait for a connection to the peer")
+		}
+	}
+	cancel()
+	conn, err := p.connect(x, address, deadline)
+	if err != nil {
+		x.calls.Release(1)
+		p.leave(address)
+		return nil, err
+	}
+	return conn, nil
+}
+
+// connect returns an idle connection that still works, or a new one.
+func (p *pool) connect(x *peer, address string, deadline time.Time) (*peerConn, error) {
+	for conn := p.takeIdle(x); conn != nil; conn = p.takeIdle(x) {
+		if time.Since(conn.idleSince) < maxUnchecked || !closedByPeer(conn.Conn) {
+			return conn, nil
+		}
+		p.close(conn)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := p.makeRoom(ctx); err != nil {
+		return nil, err
+	}
+	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
+	defer cancelDial()
+	conn, err := p.dial(dialCtx, "tcp", address)
+	if err != nil {
+		p.open.Release(1)
+		return nil, errors.Wrap(err, "connect")
+	}
+	return &peerConn{Conn: conn, address: address}, nil
+}
+
+// takeIdle removes the latest used idle connection of a peer from the pool; nil if there is none.
+func (p *pool) takeIdle(x *peer) *peerConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(x.idle) == 0 {
+		return nil
+	}
+	conn := x.idle[len(x.idle)-1]
+	p.remove(x, len(x.idle)-1)
+	return conn
+}
+
+// remove removes an idle connection from the pool. It needs p.mu.
+func (p *pool) remove(x *peer, i int) {
+	conn := x.idle[i]
+	x.idle = append(x.idle[:i], x.idle[i+1:]...)
+	p.idle.Remove(conn.element)
+	conn.element = nil
+}
+
+// makeRoom makes room for one more connection: if all are open, it closes the longest idle one, or waits for
+// one to be put back.
+func (p *pool) makeRoom(ctx context.Context) error {
+	p.mu.Lock()
+	if p.open.TryAcquire(1) {
+		p.mu.Unlock()
+		return nil
+	}
+	if conn := p.takeOldest(time.Time{}); conn != nil {
+		p.mu.Unlock()
+		conn.Close() // whose room is taken over
+		return nil
+	}
+	p.waiting++
+	p.mu.Unlock()
+	err := p.open.Acquire(ctx, 1)
+	p.mu.Lock()
+	p.waiting--
+	p.mu.Unlock()
+	return errors.Wrap(err, "wait for a connection to be closed")
+}
+
+// takeOldest removes the longest idle connection from the pool, if it has been idle since before the given
+// time, which may be zero for any; nil if there is none. It needs p.mu.
+func (p *pool) takeOldest(before time.Time) *peerConn {
+	front := p.idle.Front()
+	if front == nil {
+		return nil
+	}
+	conn := front.Value.(*peerConn)
+	if !before.IsZero() && !conn.idleSince.Before(before) {
+		return nil
+	}
+	x := p.peers[conn.address]
+	for i := range x.idle {
+		if x.idle[i] == conn {
+			p.remove(x, i)
+			break
+		}
+	}
+	p.forgetUnused(conn.address)
+	return conn
+}
+
+// put takes a connection back after a call. It closes what has been idle for too long.
+func (p *pool) put(conn *peerConn, reusable bool) {
+	now := time.Now()
+	p.mu.Lock()
+	x := p.peers[conn.address]
+	keep := reusable && p.waiting == 0
+	if keep {
+		conn.idleSince = now
+		conn.element = p.idle.PushBack(conn)
+		x.idle = append(x.idle, conn)
+	}
+	expired := p.takeOldest(now.Add(-maxIdle))
+	p.mu.Unlock()
+	if !keep {
+		p.close(conn)
+	}
+	if expired != nil {
+		p.close(expired)
+	}
+	x.calls.Release(1)
+	p.leave(conn.address)
+}
+
+// close closes a connection that isn't in the pool.
+func (p *pool) close(conn *peerConn) {
+	conn.Close()
+	p.open.Release(1)
+}
+
+// enter counts a call to an address.
+func (p *pool) enter(address string) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x := p.peers[address]
+	if x == nil {
+		x = &peer{calls: semaphore.NewWeighted(int64(p.maxPerPeer))}
+		p.peers[address] = x
+	}
+	x.users++
+	return x
+}
+
+// leave counts the end of a call to an address.
+func (p *pool) leave(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers[address].users--
+	p.forgetUnused(address)
+}
+
+// forgetUnused forgets an address without calls and connections. It needs p.mu.
+func (p *pool) forgetUnused(address string) {
+	if x := p.peers[address]; x != nil && x.users == 0 && len(x.idle) == 0 {
+		delete(p.peers, address)
+	}
+}
+
+// closeIdle closes the connections that no call uses.
+func (p *pool) closeIdle() {
+	for {
+		p.mu.Lock()
+		conn := p.takeOldest(time.Time{})
+		p.mu.Unlock()
+		if conn == nil {
+			return
+		}
+		p.close(conn)
+	}
+}
+
+// closedByPeer reports whether an idle connection can't be used any more: it is at its end, has failed, or
+// holds bytes that nobody asked for. It doesn't block.
+func closedByPeer(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	idle := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		idle = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err != nil || !idle
+}
