A replica without callers gives their descriptors to its agents

Change: a replica that serves no callers gives their eighth of the limit to the connections to agents, five eighths in all.

TestAgentsKeepTheirConnections fails with the half that it was.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.budget = descriptors.Divide(limit, s.DataDir != "")
+	d.budget = descriptors.Divide(limit, s.DataDir != "", s.Listen != "")
 	registerDescriptors(registry, limit)
 	if s.Protocol != OwnProtocol {
 		newAdapter, ok := adapters[s.Protocol]
--- a/descriptors/descriptors.go
+++ b/descriptors/descriptors.go
@@ -19,12 +19,16 @@
 }
 
 // Divide returns the budget of a process that may have limit descriptors open. Only a process that
-// keeps the replicated log opens connections to agents.
-func Divide(limit int, replica bool) Budget {
-	if replica {
-		return Budget{Callers: limit / 8, Operators: limit / 4, Agents: limit / 2}
+// keeps the replicated log opens connections to agents. Agents need two each, one of them for polls; so
+// they get the callers' share as well if the process serves no callers.
+func Divide(limit int, replica, servesCallers bool) Budget {
+	switch {
+	case !replica:
+		return Budget{Callers: limit / 2, Operators: limit / 4}
+	case !servesCallers:
+		return Budget{Operators: limit / 4, Agents: limit * 5 / 8}
 	}
-	return Budget{Callers: limit / 2, Operators: limit / 4}
+	return Budget{Callers: limit / 8, Operators: limit / 4, Agents: limit / 2}
 }
 
 // Limit returns how many descriptors the process may have open.
