A call waits 25 ms for a connection before it opens a third one to its peer

Several starts of one plan for one agent each opened a connection, which was soon closed to make room for another agent's: four connections for each of 1,800 agents are more than a process may have.

Change: a peer has two connections as a rule. A call that finds both in use waits for 25 ms, about as long as opening one takes with its round trip, and then opens a third.

Evidence: TestBurstOpensFewConnections (4 connections for 4 calls without the wait).

--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -146,6 +146,33 @@
 	}
 }
 
+// TestBurstOpensFewConnections guards against a connection for each of several calls that are sent to one
+// peer at once, which are then closed to make room for those of other peers.
+func TestBurstOpensFewConnections(t *testing.T) {
+	var opened atomic.Int64
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Millisecond) }))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	c := New()
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			if _, _, err := post(c, strings.TrimPrefix(s.URL, "http://"), 10*time.Second); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	if got, want := opened.Load(), int64(usualPerPeer); got != want {
+		t.Errorf("connections opened: got %d, want %d", got, want)
+	}
+}
+
 func ExampleClient_Post() {
 	c := New(WithMaxOpen(100))
 	defer c.Close()
--- a/outbound/pool.go
+++ b/outbound/pool.go
@@ -13,6 +13,14 @@
 	"golang.org/x/sys/unix"
 )
 
+// usualPerPeer is how many connections a peer has while its calls end soon: one for a call that it holds back,
+// and one for others.
+const usualPerPeer = 2
+
+// patience is how long a call waits for one of these before another connection is opened, which takes about
+// as long as a call.
+const patience = 25 * time.Millisecond
+
 // How long connections stay idle.
 const (
 	maxIdle      = 10 * time.Second       // until they are closed
@@ -36,7 +44,9 @@
 type peer struct {
 	calls *semaphore.Weighted // calls under way, each of which has a connection or is about to
 	users int                 // calls under way or waiting
+	open  int                 // connections, those being opened included
 	idle  []*peerConn         // the latest used last
+	freed chan struct{}       // holds a value if a connection became idle or was closed
 }
 
 // peerConn is a connection to a peer.
@@ -80,12 +90,67 @@
 
 // connect returns an idle connection that still works, or a new one.
 func (p *pool) connect(x *peer, address string, deadline time.Time) (*peerConn, error) {
-	for conn := p.takeIdle(x); conn != nil; conn = p.takeIdle(x) {
-		if time.Since(conn.idleSince) < maxUnchecked || !closedByPeer(conn.Conn) {
-			return conn, nil
+	if conn := p.reuse(x, deadline); conn != nil {
+		return conn, nil
+	}
+	conn, err := p.openConn(address, deadline)
+	if err != nil {
+		p.forget(x)
+		return nil, err
+	}
+	return conn, nil
+}
+
+// reuse returns an idle connection that still works. If the peer has all its usual connections, it waits for
+// one for a moment. It returns nil if the caller has to open one, which is then counted.
+func (p *pool) reuse(x *peer, deadline time.Time) *peerConn {
+	var patient <-chan time.Time
+	for {
+		conn, mayOpen := p.takeIdle(x)
+		switch {
+		case conn != nil && (time.Since(conn.idleSince) < maxUnchecked || !closedByPeer(conn.Conn)):
+			return conn
+		case conn != nil:
+			p.close(conn)
+			p.forget(x)
+			continue
+		case mayOpen:
+			return nil
+		}
+		if patient == nil {
+			t := time.NewTimer(min(patience, time.Until(deadline)))
+			defer t.Stop()
+			patient = t.C
+		}
+		select {
+		case <-x.freed:
+		case <-patient:
+			p.mu.Lock()
+			x.open++
+			p.mu.Unlock()
+			return nil
 		}
-		p.close(conn)
 	}
+}
+
+// forget counts the end of a connection to a peer.
+func (p *pool) forget(x *peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x.open--
+	x.signal()
+}
+
+// signal lets one call that waits for a connection look again.
+func (x *peer) signal() {
+	select {
+	case x.freed <- struct{}{}:
+	default:
+	}
+}
+
+// openConn opens a connection.
+func (p *pool) openConn(address string, deadline time.Time) (*peerConn, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := p.makeRoom(ctx); err != nil {
@@ -101,16 +166,24 @@
 	return &peerConn{Conn: conn, address: address}, nil
 }
 
-// takeIdle removes the latest used idle connection of a peer from the pool; nil if there is none.
-func (p *pool) takeIdle(x *peer) *peerConn {
+// takeIdle removes the latest used idle connection of a peer from the pool. If there is none, it returns
+// whether the caller may open one at once, and counts that.
+func (p *pool) takeIdle(x *peer) (conn *peerConn, mayOpen bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(x.idle) == 0 {
-		return nil
+		if x.open < min(usualPerPeer, p.maxPerPeer) {
+			x.open++
+			return nil, true
+		}
+		return nil, false
 	}
-	conn := x.idle[len(x.idle)-1]
+	conn = x.idle[len(x.idle)-1]
 	p.remove(x, len(x.idle)-1)
-	return conn
+	if len(x.idle) > 0 {
+		x.signal()
+	}
+	return conn, false
 }
 
 // remove removes an idle connection from the pool. It needs p.mu.
@@ -161,6 +234,7 @@
 			break
 		}
 	}
+	x.open--
 	p.forgetUnused(conn.address)
 	return conn
 }
@@ -175,7 +249,10 @@
 		conn.idleSince = now
 		conn.element = p.idle.PushBack(conn)
 		x.idle = append(x.idle, conn)
+	} else {
+		x.open--
 	}
+	x.signal()
 	expired := p.takeOldest(now.Add(-maxIdle))
 	p.mu.Unlock()
 	if !keep {
@@ -200,7 +277,7 @@
 	defer p.mu.Unlock()
 	x := p.peers[address]
 	if x == nil {
-		x = &peer{calls: semaphore.NewWeighted(int64(p.maxPerPeer))}
+		x = &peer{calls: semaphore.NewWeighted(int64(p.maxPerPeer)), freed: make(chan struct{}, 1)}
 		p.peers[address] = x
 	}
 	x.users++
