Starts under way are limited by the time that their answers take

Change: the limit of starts under way follows the answers. With answers that take longer than 120 ms it falls, to 150 at the least, and rises again to 500 with faster ones. Starts without an answer don't count: their agents are silent. A plan needs room for 60 starts, or for 0.3 of the limit.

--- a/flow/largejob_bench_test.go
+++ b/flow/largejob_bench_test.go
@@ -18,7 +18,7 @@
 			for b.Loop() {
 				s := newTestLeader(agents)
 				s.submitSmall("f", tasks)
-				for first := 0; first < tasks; first += maxPlacements {
+				for first := 0; first < tasks; first += maxStartsUnderWay {
 					longest = max(longest, s.timed(s.placements("f", first, agents)))
 				}
 				for i := range tasks {
@@ -42,7 +42,7 @@
 func (s *testLeader) placements(id string, first, agents int) notch.PlaceRuns {
 	s.advance(10 * time.Millisecond)
 	var out []notch.RunPlacement
-	for i := range maxPlacements {
+	for i := range maxStartsUnderWay {
 		out = append(out, notch.RunPlacement{Task: notch.TaskRef{Flow: id, Index: first + i}, Life: lifeOf(first+i, agents)})
 	}
 	return notch.PlaceRuns{Token: 2, Placements: out}
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -149,7 +149,11 @@
 
 // startAnswered handles the answer to a start.
 func (s *stepper) startAnswered(b notch.AgentAnswered) {
-	s.startsUnderWay = s.startsUnderWay.withAnswered(b.SentAt, s.now)
+	if b.Answer.Kind == notch.AgentOK || b.Answer.Kind == notch.AgentRefused {
+		s.startsUnderWay = s.startsUnderWay.withAnswered(b.SentAt, s.now)
+	} else {
+		s.startsUnderWay = s.startsUnderWay.withoutAnswer(b.SentAt, s.now)
+	}
 	ref := b.Order.Run
 	r, ok := s.run(ref)
 	if !ok || r.Life != b.Life {
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -10,8 +10,8 @@
 
 // The limits of one plan. What it didn't reach, it leaves to the next one.
 const (
-	maxPlacements = 500     // less the starts that are under way
-	minPlacements = 60      // with less room than that, a plan waits for answers
+	minPlacements = 60      // with room for fewer starts and for less than minRoomShare, a plan waits for answers
+	minRoomShare  = 0.3     // of the limit of starts under way
 	maxScores     = 100_000 // agents that are scored, once for each group
 )
 
@@ -35,7 +35,7 @@
 		return
 	}
 	s.startsUnderWay = s.startsUnderWay.at(s.now)
-	if maxPlacements-s.startsUnderWay.count() < minPlacements {
+	if s.startsUnderWay.room() < min(minPlacements, int(minRoomShare*float64(s.startsUnderWay.limit()))) {
 		return
 	}
 	if s.placementsProposedAt != 0 {
@@ -64,7 +64,7 @@
 // assign chooses an agent for each task that fits on one, and reports the plan. Groups are those that
 // are ready among a number that was examined.
 func (s *stepper) assign(groups []readyGroup, examined int) []notch.RunPlacement {
-	p := planner{stepper: s, placer: s.policy.Placer(s.colocationModel), pools: map[string]*agentViews{}, limit: maxPlacements - s.startsUnderWay.count()}
+	p := planner{stepper: s, placer: s.policy.Placer(s.colocationModel), pools: map[string]*agentViews{}, limit: s.startsUnderWay.room()}
 	for _, g := range groups {
 		p.made.Ready += g.tasks
 	}
--- a/flow/underway.go
+++ b/flow/underway.go
@@ -10,23 +10,48 @@
 // agent is silent, and others answer meanwhile.
 const startWindow = 250 * time.Millisecond
 
-// startsUnderWay counts the starts of the last moments that aren't answered yet. Many of them say that
-// this leader, or what lies between it and the agents, is behind.
+// The limit of starts under way follows the time that their answers take. With more of them than this
+// leader and what lies between it and the agents can carry, each start waits behind the others, and so
+// does each step of a short workflow, whatever the order of the plans.
+const (
+	maxStartsUnderWay = 500
+	minStartsUnderWay = 150                    // with which a leader that can carry more still finds that out
+	answerTimeGoal    = 120 * time.Millisecond // in which a plan is made and committed
+	maxLimitGrowth    = 1.25                   // from window to window
+	maxLimitCut       = 0.5
+)
+
+// startsUnderWay counts the starts of the last moments that aren't answered yet, and limits them.
 type startsUnderWay struct {
-	since   notch.Time // when the present window began
-	recent  int        // starts sent in the present window
-	earlier int        // starts sent in the window before
+	since    notch.Time    // when the present window began
+	recent   int           // starts sent in the present window
+	earlier  int           // starts sent in the window before
+	answered int           // in the present window
+	waited   time.Duration // in total, for these answers
+	below    int           // maxStartsUnderWay less the limit
 }
 
 // at returns u with the windows at the given time.
 func (u startsUnderWay) at(now notch.Time) startsUnderWay {
-	switch age := now.Sub(u.since); {
-	case age < startWindow:
+	age := now.Sub(u.since)
+	if age < startWindow {
 		return u
-	case age < 2*startWindow:
-		return startsUnderWay{since: u.since.Add(startWindow), earlier: u.recent}
 	}
-	return startsUnderWay{since: now}
+	next := startsUnderWay{since: now, below: maxStartsUnderWay - u.nextLimit()}
+	if age < 2*startWindow {
+		next.since, next.earlier = u.since.Add(startWindow), u.recent
+	}
+	return next
+}
+
+// nextLimit returns the limit for the window after the present one.
+func (u startsUnderWay) nextLimit() int {
+	factor := maxLimitGrowth
+	if u.answered > 0 && u.waited > 0 {
+		goal := float64(answerTimeGoal) * float64(u.answered)
+		factor = min(max(goal/float64(u.waited), maxLimitCut), maxLimitGrowth)
+	}
+	return min(max(int(float64(u.limit())*factor), minStartsUnderWay), maxStartsUnderWay)
 }
 
 // withSent returns u after a start was sent.
@@ -38,6 +63,15 @@
 
 // withAnswered returns u after the answer to a start that was sent at the given time.
 func (u startsUnderWay) withAnswered(sentAt, now notch.Time) startsUnderWay {
+	u = u.withoutAnswer(sentAt, now)
+	u.answered++
+	u.waited += now.Sub(sentAt)
+	return u
+}
+
+// withoutAnswer returns u after a start that was sent at the given time has ended without an answer. It
+// says nothing about the leader: its agent is silent.
+func (u startsUnderWay) withoutAnswer(sentAt, now notch.Time) startsUnderWay {
 	u = u.at(now)
 	if sentAt.Before(u.since) {
 		u.earlier = max(0, u.earlier-1)
@@ -49,3 +83,9 @@
 
 // count returns how many starts are under way.
 func (u startsUnderWay) count() int { return u.recent + u.earlier }
+
+// limit returns how many starts may be under way.
+func (u startsUnderWay) limit() int { return maxStartsUnderWay - u.below }
+
+// room returns how many more starts may be sent.
+func (u startsUnderWay) room() int { return u.limit() - u.count() }
--- a/flow/underway_test.go
+++ b/flow/underway_test.go
@@ -45,11 +45,52 @@
 			Order: notch.AgentOrder{Kind: notch.AgentStart, Token: 2 << incarnationBits, Run: notch.RunRef{Task: p.Task, Number: 1}},
 		})
 	}
-	if got, want := s.planned(), maxPlacements-(under-400); got != want {
+	if got, want := s.planned(), maxStartsUnderWay-(under-400); got != want {
 		t.Errorf("%d starts under way: got %d placements, want %d", under-400, got, want)
 	}
 }
 
+// TestStartsUnderWayFollowAnswers guards against starts that wait behind hundreds of others because the
+// leader can't carry more: each step of a short workflow took a quarter of a second longer, although its
+// tasks were the first of each plan (SHORT with 3,700 starts a second asked at 1,800 agents).
+func TestStartsUnderWayFollowAnswers(t *testing.T) {
+	const perSecond = 2500 // starts that the leader can carry
+	var u startsUnderWay
+	now := notch.Time(time.Hour)
+	queue := []notch.Time{} // when the starts that aren't answered were sent
+	carried, longest := 0, time.Duration(0)
+	const tick, length = time.Millisecond, 10 * time.Second
+	for at := time.Duration(0); at < length; at += tick {
+		now = now.Add(tick)
+		u = u.at(now)
+		for u.room() > 0 { // more are always asked for
+			u = u.withSent(now)
+			queue = append(queue, now)
+		}
+		for n := int((at+tick)*perSecond/time.Second) - int(at*perSecond/time.Second); n > 0 && len(queue) > 0; n-- {
+			if at > length/2 {
+				longest = max(longest, now.Sub(queue[0]))
+			}
+			u = u.withAnswered(queue[0], now)
+			queue = queue[1:]
+			carried++
+		}
+	}
+	if got, want := longest, 3*answerTimeGoal/2; got > want {
+		t.Errorf("longest answer: got %v, want at most %v", got, want)
+	}
+	if got, want := carried, int(0.98*perSecond*length.Seconds()); got < want {
+		t.Errorf("starts carried: got %d, want at least %d", got, want)
+	}
+	for range 20 { // the answers get fast again
+		now = now.Add(startWindow)
+		u = u.withSent(now).withAnswered(now.Add(-answerTimeGoal/4), now)
+	}
+	if got, want := u.limit(), maxStartsUnderWay; got != want {
+		t.Errorf("limit with fast answers: got %d, want %d", got, want)
+	}
+}
+
 // Starts to agents that are silent don't keep other agents' runs waiting for long.
 func TestOldStartsDontCountAsUnderWay(t *testing.T) {
 	var u startsUnderWay
