Under overload, begun workflows are completed, then the newest begin

Change: while the limit of starts under way is below its most, tasks of workflows that have begun go first, and of those that haven't, the ones with the most time left; each within the priority of the route and within what the start is still worth (in time, late, missed). Without overload the order is as before. Nothing is refused; the oldest get what is left.

Evidence: TestOrder has the cases.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -109,7 +109,8 @@
 
 // TestOrder guards against tasks that wait behind less urgent ones: the interrupted tasks of a service
 // behind first starts, long-running tasks behind those of newer workflows, or, in a full pool, short tasks
-// behind long-running ones that take all processors that become free (SHORT).
+// behind long-running ones that take all processors that become free (SHORT). Under overload, it guards
+// against starts for workflows that are about to miss their objective, so that all miss it a little.
 func TestOrder(t *testing.T) {
 	now := notch.Time(time.Hour)
 	base := notch.ReadyTask{Priority: 1, Accepted: now, Due: now.Add(5 * time.Second), Remaining: time.Second}
@@ -118,6 +119,15 @@
 		f(&r)
 		return r
 	}
+	overloaded := func(r notch.ReadyTask, begun bool) notch.ReadyTask {
+		r.Overloaded, r.Begun = true, begun
+		return r
+	}
+	tight := with(func(r *notch.ReadyTask) { r.Due = now.Add(2 * time.Second) })
+	late := with(func(r *notch.ReadyTask) { r.Accepted, r.Due = now.Add(-4*time.Second), now })
+	longRunning := with(func(r *notch.ReadyTask) { r.LongRunning = true })
+	oldLongRunning := with(func(r *notch.ReadyTask) { r.LongRunning, r.Due = true, now.Add(-50*time.Second) })
+	interrupted := with(func(r *notch.ReadyTask) { r.LongRunning, r.Interrupted, r.Priority = true, true, 5 })
 	cases := []struct {
 		name          string
 		before, after notch.ReadyTask
@@ -146,6 +156,12 @@
 		{"a workflow that can still meet its objective", base, with(func(r *notch.ReadyTask) { r.Due = now.Add(time.Second / 2) })},
 		{"a workflow that can still count as late", with(func(r *notch.ReadyTask) { r.Accepted, r.Due = now.Add(-4*time.Second), now }),
 			with(func(r *notch.ReadyTask) { r.Accepted, r.Due = now.Add(-time.Minute), now.Add(-50*time.Second) })},
+		{"overloaded: a workflow that has begun, before one with less slack", overloaded(base, true), overloaded(tight, false)},
+		{"overloaded: a workflow with more slack", overloaded(base, false), overloaded(tight, false)},
+		{"overloaded: of those that have begun, the one with less slack", overloaded(tight, true), overloaded(base, true)},
+		{"overloaded: one that can still meet its objective, before one that has begun and can't", overloaded(base, false), overloaded(late, true)},
+		{"overloaded: an interrupted task", overloaded(interrupted, true), overloaded(base, true)},
+		{"overloaded: a long-running task of an older workflow", overloaded(oldLongRunning, false), overloaded(longRunning, false)},
 	}
 	for _, c := range cases {
 		if a, b := (BySlack{}).Rank(c.before, now), (BySlack{}).Rank(c.after, now); a >= b {
--- a/assign/order.go
+++ b/assign/order.go
@@ -14,12 +14,17 @@
 // long-running tasks, which are of use whenever they start but keep their processors for long, then the
 // rest: with more work than capacity, workflows that have missed their objective must not delay the
 // others. Among equals, the tasks with the least slack go first.
+//
+// While more starts are asked for than can be sent, the least slack would go to the workflows that are
+// about to miss their objective: all would miss it a little. Instead, what has begun is completed first,
+// as the starts spent on it are lost otherwise, and then those begin that have the most time left.
 type BySlack struct{}
 
 // The fields of a rank, most significant first: whether the task was interrupted, the priority of its
-// route, its urgency, the slack in ms.
+// route, its urgency, whether its workflow has yet to begin, the slack in ms.
 const (
 	slackBits    = 40
+	begunBits    = 1
 	urgencyBits  = 2
 	priorityBits = 8
 )
@@ -41,11 +46,18 @@
 func (BySlack) Rank(t notch.ReadyTask, now notch.Time) int64 {
 	const maxSlack = int64(1)<<slackBits - 1
 	u, slack := urgencyOf(t, now)
+	postponed := t.Overloaded && !t.Begun && !t.LongRunning
+	if postponed {
+		slack = -slack
+	}
 	rank := min(max(slack.Milliseconds()+maxSlack/2, 0), maxSlack)
-	rank += int64(u) << slackBits
-	rank += int64(min(max(t.Priority, 0), 1<<priorityBits-1)) << (slackBits + urgencyBits)
+	if postponed {
+		rank += 1 << slackBits
+	}
+	rank += int64(u) << (slackBits + begunBits)
+	rank += int64(min(max(t.Priority, 0), 1<<priorityBits-1)) << (slackBits + begunBits + urgencyBits)
 	if !t.Interrupted {
-		rank += 1 << (slackBits + urgencyBits + priorityBits)
+		rank += 1 << (slackBits + begunBits + urgencyBits + priorityBits)
 	}
 	return rank
 }
--- a/flow/underway.go
+++ b/flow/underway.go
@@ -87,5 +87,8 @@
 // limit returns how many starts may be under way.
 func (u startsUnderWay) limit() int { return maxStartsUnderWay - u.below }
 
+// overloaded reports whether more starts are asked for than can be answered in time.
+func (u startsUnderWay) overloaded() bool { return u.below > 0 }
+
 // room returns how many more starts may be sent.
 func (u startsUnderWay) room() int { return u.limit() - u.count() }
--- a/policy.go
+++ b/policy.go
@@ -161,6 +161,8 @@
 	Accepted      Time          // when its workflow was accepted
 	Due           Time          // when its workflow must be complete to meet its objective
 	Remaining     time.Duration // declared run time of the longest chain of stages that starts with this task
+	Begun         bool          // a task of its workflow has had a run
+	Overloaded    bool          // more starts are asked for than the leader can send
 }
 
 // WorkflowTaskOrder decides which ready task of a workflow starts first.
