A plan looks at 500 agents of a large pool first

Each plan scored all 1,800 agents for each group of tasks and looked up their service images, then paused in proportion, some 70 ms by its own counts, so that with a small limit of starts under way the leader was idle between plans.

Change: in a pool of more than 500 candidates a plan looks at 500 first, the next plan at the 500 after them, and at all of them only for a task that fits on none of the 500, or that asks for a label or a rack. Pools of up to 500 agents are planned as before.

--- a/flow/plan.go
+++ b/flow/plan.go
@@ -165,6 +165,10 @@
 		if i < 0 {
 			i = scores.Next(waited, seed)
 		}
+		if i < 0 && v.widen() {
+			scores, apart.scores = p.placer.Score(st, v), nil
+			i = scores.Next(waited, seed)
+		}
 		if i < 0 {
 			v.addShortage(scores)
 			p.made.StagesWithoutAgent++
--- a/flow/views.go
+++ b/flow/views.go
@@ -26,6 +26,7 @@
 	stageRef   notch.TaskRef
 	stage      notch.Stage
 	candidates candidates // for the stage
+	narrow     bool       // the placer sees only candidates.first
 	limitHit   bool       // only the stage's limit of runs may have kept its tasks from an agent
 	examined   int        // number of times that the placer examined an agent
 	withImages int        // number of agents whose images were added to their views
@@ -42,8 +43,14 @@
 	lackedAt      uint64 // number of that plan; 0: the demand is new
 	opportunistic bool
 	agents        []int // indexes, ascending
+	first         []int // those that are looked at first, ascending; nil: all
 }
 
+// maxFirstCandidates is how many agents of a large pool a plan looks at first. Among as many there are good
+// ones for any task, and a plan that scored all of them for each group would take most of the control
+// thread.
+const maxFirstCandidates = 500
+
 // agentViewsOf returns the views of a pool's agents for the current plan.
 func (s *stepper) agentViewsOf(pool notch.Pool) *agentViews {
 	remembered := s.planMemory.pools[pool.Name]
@@ -162,6 +169,7 @@
 	if v.candidates.agents == nil || v.candidates.lackedAt != lackedAt || v.candidates.opportunistic != st.Fills {
 		v.candidates = v.candidatesSince(lackedAt, st.Fills)
 	}
+	v.narrow = v.candidates.first != nil && st.Rack == "" && st.Label == ""
 	if st.PerAgent > 0 && v.runsByStage[ref] == nil {
 		v.runsByStage[ref] = v.s.countRunsByAgent(ref)
 	}
@@ -176,9 +184,31 @@
 			out.agents = append(out.agents, i)
 		}
 	}
+	out.first = v.firstOf(out.agents)
 	return out
 }
 
+// firstOf returns the part of many agents that this plan looks at first. The next plan takes the part after
+// it. It returns nil for few agents.
+func (v *agentViews) firstOf(agents []int) []int {
+	if len(agents) <= maxFirstCandidates {
+		return nil
+	}
+	from := int(v.plan * maxFirstCandidates % uint64(len(agents)))
+	to := from + maxFirstCandidates
+	if to <= len(agents) {
+		return agents[from:to]
+	}
+	return slices.Concat(agents[:to-len(agents)], agents[from:])
+}
+
+// widen lets the placer see all candidates. It returns false if it did already.
+func (v *agentViews) widen() bool {
+	was := v.narrow
+	v.narrow = false
+	return was
+}
+
 // latestShortage returns the number of the latest plan in which a demand of at most the given size
 // fitted on no agent, or 0. It records that this plan has a group of the kind.
 func (v *agentViews) latestShortage(kind demandKind, size notch.Resources) uint64 {
@@ -208,7 +238,12 @@
 func (v *agentViews) Len() int { return len(v.agents) }
 
 // Candidates implements [notch.AgentViews].
-func (v *agentViews) Candidates() []int { return v.candidates.agents }
+func (v *agentViews) Candidates() []int {
+	if v.narrow {
+		return v.candidates.first
+	}
+	return v.candidates.agents
+}
 
 // ReservedShare implements [notch.AgentViews].
 func (v *agentViews) ReservedShare() float64 {
