--- a/fake/agentload_test.go
+++ b/fake/agentload_test.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"os"
@@ -18,7 +19,8 @@
 type agentLoad struct {
 	Replicas  int
 	Entries   int
-	Cores     float64 // share of a core that each daemon has
+	Cores     float64       // share of a core that each daemon has
+	CallTime  time.Duration `yaml:"call-time"` // as agentCallTime, which it replaces; 0: agentCallTime
 	Agents    agentPool
 	Swing     float64       // of all rates, as a fraction of their mean
 	Period    time.Duration // of the swing
@@ -126,7 +128,7 @@
 func newLoadTest(t *testing.T, load agentLoad, seed uint64) *loadTest {
 	l := &loadTest{Testbed: New(seed), load: load, byID: map[string]*loadWorkflow{}}
 	l.Policies.Replicas = load.Replicas
-	limitProcessors(l.Testbed, load.Cores)
+	limitProcessors(l.Testbed, load.Cores).callTime = cmp.Or(load.CallTime, agentCallTime)
 	for i := range load.Replicas {
 		l.replicas = append(l.replicas, l.AddDaemon(fmt.Sprintf("replica-%d", i), fmt.Sprintf("domain-%d", i), true, i == 0))
 	}
--- a/fake/processor_test.go
+++ b/fake/processor_test.go
@@ -32,6 +32,7 @@
 type processorModel struct {
 	*Testbed
 	cores      float64       // share of a core that each daemon has
+	callTime   time.Duration // of an order to an agent and its answer
 	work       time.Duration // counted in the step in progress
 	processors map[*drive.Node]*processor
 	views      map[string][]notch.ServiceImage // by agent: the service images of its latest view
@@ -45,8 +46,8 @@
 
 // limitProcessors makes the steps of all daemons take time, on a share of a core each. It
 // replaces the policy of workflows by one that counts its work.
-func limitProcessors(s *Testbed, cores float64) {
-	m := &processorModel{Testbed: s, cores: cores, processors: map[*drive.Node]*processor{}, views: map[string][]notch.ServiceImage{}}
+func limitProcessors(s *Testbed, cores float64) *processorModel {
+	m := &processorModel{Testbed: s, cores: cores, callTime: agentCallTime, processors: map[*drive.Node]*processor{}, views: map[string][]notch.ServiceImage{}}
 	policy := s.Policies.Workflows
 	s.Policies.Workflows.Order = countingOrder{policy.Order, m}
 	s.Policies.Workflows.Placer = func(model notch.ColocationModel) notch.RunPlacer {
@@ -54,6 +55,7 @@
 	}
 	s.Policies.Workflows.ColocationModel = countingModel{policy.ColocationModel, m}
 	s.StepTime = m.stepTime
+	return m
 }
 
 // stepTime implements [drive.StepTimeFunc].
@@ -71,7 +73,7 @@
 		if c, ok := f.(notch.Count); ok && countsRuns(c.Name) {
 			work += appliedRunTime * time.Duration(c.Delta)
 		}
-		beside += effectTime(n, f)
+		beside += m.effectTime(n, f)
 	}
 	shared := min(work, p.beside)
 	p.beside += beside - shared
@@ -90,10 +92,10 @@
 }
 
 // effectTime returns the time that an effect takes beside the loop.
-func effectTime(n *drive.Node, f notch.Effect) time.Duration {
+func (m *processorModel) effectTime(n *drive.Node, f notch.Effect) time.Duration {
 	switch f := f.(type) {
 	case notch.CallAgent:
-		return agentCallTime
+		return m.callTime
 	case notch.LogMessage:
 		return logMessageTime
 	case notch.Persist:
