An idle connection isn't taken for closed because its last deadline has passed

Change: the check clears the deadline. TestIdleConnectionIsUsedAgain: 3 connections for 3 calls before, 1 after. TestMalformedAnswers comes along: answers that can't be read are errors and end no process; it passes with and without the change.

--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -124,6 +124,57 @@
 	}
 }
 
+// TestIdleConnectionIsUsedAgain guards against a connection that counts as closed by its peer because the
+// deadline of its last call has passed: each call after a pause opened a new one.
+func TestIdleConnectionIsUsedAgain(t *testing.T) {
+	var opened atomic.Int64
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	c := New()
+	for range 3 {
+		if _, _, err := post(c, strings.TrimPrefix(s.URL, "http://"), maxUnchecked); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(maxUnchecked + 20*time.Millisecond)
+	}
+	if got, want := opened.Load(), int64(1); got != want {
+		t.Errorf("connections opened: got %d, want %d", got, want)
+	}
+}
+
+// TestMalformedAnswers guards against an answer that can't be read and ends the process.
+func TestMalformedAnswers(t *testing.T) {
+	for _, answer := range []string{
+		"", "\x00\xff", "HTTP/1.1\r\n\r\n", "HTTP/1.1 abc OK\r\n\r\n", "HTTP/9.9 200 OK\r\nContent-Length: -5\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("y", 3*bufferBytes) + "\r\n\r\n",
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			http.ReadRequest(bufio.NewReader(conn))
+			conn.Write([]byte(answer))
+			conn.Close()
+		}()
+		if status, body, err := post(New(), l.Addr().String(), time.Second); err == nil || errors.Is(err, ErrNotSent) {
+			t.Errorf("%.40q: got %d, %.20q and %v, want an error other than %v", answer, status, body, err, ErrNotSent)
+		}
+		l.Close()
+	}
+}
+
 // TestIdleConnectionsMakeRoom guards against calls to one peer that wait for the idle connections of others.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
 	answer := func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok")) }
--- a/outbound/pool.go
+++ b/outbound/pool.go
@@ -320,7 +320,7 @@
 		return false
 	}
 	raw, err := sc.SyscallConn()
-	if err != nil {
+	if err != nil || conn.SetReadDeadline(time.Time{}) != nil { // that of the last call may have passed
 		return true
 	}
 	idle := false
