--- a/fake/agent.go
+++ b/fake/agent.go
@@ -1,7 +1,6 @@
 package fake
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -111,13 +110,6 @@
 	})
 }
 
-// renameAgent gives an agent that is down a new id.
-func (s *Testbed) renameAgent(a *Agent) {
-	delete(s.Agents, a.ID)
-	a.ID = fmt.Sprintf("%s-%d", a.Address, a.generation)
-	s.Agents[a.ID] = a
-}
-
 // ResizeAgent changes the size of an agent while it runs. What it announces next shows it.
 func (s *Testbed) ResizeAgent(a *Agent, size notch.Resources) {
 	a.formerSizes = append(a.formerSizes, formerSize{size: a.Size, until: s.Now() + maxSizeChangeDelay})
--- a/fake/agentleave.go
+++ b/fake/agentleave.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"fmt"
 	"time"
 
 	notch "tamaracknotch"
@@ -38,3 +39,10 @@
 	}
 	clear(a.runs)
 }
+
+// renameAgent gives an agent that is down a new id.
+func (s *Testbed) renameAgent(a *Agent) {
+	delete(s.Agents, a.ID)
+	a.ID = fmt.Sprintf("%s-%d", a.Address, a.generation)
+	s.Agents[a.ID] = a
+}
