--- a/outbound/pool.go
+++ b/outbound/pool.go
@@ -69,16 +69,10 @@
 // get returns a connection to an address, for the caller alone. It must be put back.
 func (p *pool) get(address string, deadline time.Time) (*peerConn, error) {
 	x := p.enter(address)
-	ctx, cancel := context.Background(), func() {}
-	if !x.calls.TryAcquire(1) {
-		ctx, cancel = context.WithDeadline(ctx, deadline)
-		if err := x.calls.Acquire(ctx, 1); err != nil {
-			cancel()
-			p.leave(address)
-			return nil, errors.Wrap(err, "wait for a connection to the peer")
-		}
+	if err := x.begin(deadline); err != nil {
+		p.leave(address)
+		return nil, err
 	}
-	cancel()
 	conn, err := p.connect(x, address, deadline)
 	if err != nil {
 		x.calls.Release(1)
@@ -88,6 +82,16 @@
 	return conn, nil
 }
 
+// begin waits until a call may use one of the peer's connections.
+func (x *peer) begin(deadline time.Time) error {
+	if x.calls.TryAcquire(1) {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return errors.Wrap(x.calls.Acquire(ctx, 1), "wait for a connection to the peer")
+}
+
 // connect returns an idle connection that still works, or a new one.
 func (p *pool) connect(x *peer, address string, deadline time.Time) (*peerConn, error) {
 	if conn := p.reuse(x, deadline); conn != nil {
