--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -21,6 +21,21 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// serveCounted starts a peer that answers after a while, and returns its address and the number of connections
+// that were opened to it.
+func serveCounted(t *testing.T, after time.Duration) (address string, opened *atomic.Int64) {
+	opened = &atomic.Int64{}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(after) }))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://"), opened
+}
+
 // post sends a call with a timeout and returns the status and body of the answer.
 func post(c *Client, address string, timeout time.Duration) (status int, body string, err error) {
 	err = c.Post(Call{Address: address, Path: "/x", Header: [2]string{"X-Name", "n"}, Body: []byte("{}"), Timeout: timeout}, func(s int, b []byte) {
@@ -63,14 +78,22 @@
 	address := servePeer(t, func(http.ResponseWriter, *http.Request) { arrived <- true; <-held })
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		if _, _, err := post(busy, address, 300*time.Millisecond); err == nil || errors.Is(err, ErrNotSent) {
-			t.Errorf("a call without an answer: got %v, want an error other than %v", err, ErrNotSent)
+		if _, _, err := post(busy, address, time.Minute); err != nil {
+			t.Error(err)
 		}
 	})
 	<-arrived
 	if _, _, err := post(busy, address, 20*time.Millisecond); !errors.Is(err, ErrNotSent) {
 		t.Errorf("all connections in use: got %v, want %v", err, ErrNotSent)
 	}
+	held <- true
+	wg.Wait()
+	wg.Go(func() {
+		if _, _, err := post(busy, address, time.Second); err == nil || errors.Is(err, ErrNotSent) {
+			t.Errorf("a call without an answer: got %v, want an error other than %v", err, ErrNotSent)
+		}
+	})
+	<-arrived
 	wg.Wait()
 	close(held)
 }
@@ -104,6 +127,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
+	closed := make(chan bool)
 	go func() { // answers one call on each connection, and closes it
 		for {
 			conn, err := l.Accept()
@@ -113,35 +137,31 @@
 			http.ReadRequest(bufio.NewReader(conn))
 			conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 			conn.Close()
+			closed <- true
 		}
 	}()
 	c := New()
+	c.pool.maxUnchecked = 0
 	for i := range 3 {
-		if status, _, err := post(c, l.Addr().String(), time.Second); err != nil || status != http.StatusOK {
+		if status, _, err := post(c, l.Addr().String(), 10*time.Second); err != nil || status != http.StatusOK {
 			t.Errorf("call %d: got %d and %v", i, status, err)
 		}
-		time.Sleep(maxUnchecked + 20*time.Millisecond)
+		<-closed
 	}
 }
 
 // TestIdleConnectionIsUsedAgain guards against a connection that counts as closed by its peer because the
 // deadline of its last call has passed: each call after a pause opened a new one.
 func TestIdleConnectionIsUsedAgain(t *testing.T) {
-	var opened atomic.Int64
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
-		if state == http.StateNew {
-			opened.Add(1)
-		}
-	}
-	s.Start()
-	defer s.Close()
+	address, opened := serveCounted(t, 0)
 	c := New()
+	c.pool.maxUnchecked = 0
+	const timeout = time.Second
 	for range 3 {
-		if _, _, err := post(c, strings.TrimPrefix(s.URL, "http://"), maxUnchecked); err != nil {
+		if _, _, err := post(c, address, timeout); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(maxUnchecked + 20*time.Millisecond)
+		time.Sleep(timeout)
 	}
 	if got, want := opened.Load(), int64(1); got != want {
 		t.Errorf("connections opened: got %d, want %d", got, want)
@@ -200,20 +220,13 @@
 // TestBurstOpensFewConnections guards against a connection for each of several calls that are sent to one
 // peer at once, which are then closed to make room for those of other peers.
 func TestBurstOpensFewConnections(t *testing.T) {
-	var opened atomic.Int64
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Millisecond) }))
-	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
-		if state == http.StateNew {
-			opened.Add(1)
-		}
-	}
-	s.Start()
-	defer s.Close()
+	address, opened := serveCounted(t, time.Millisecond)
 	c := New()
+	c.pool.patience = time.Minute
 	var wg sync.WaitGroup
 	for range 4 {
 		wg.Go(func() {
-			if _, _, err := post(c, strings.TrimPrefix(s.URL, "http://"), 10*time.Second); err != nil {
+			if _, _, err := post(c, address, 10*time.Second); err != nil {
 				t.Error(err)
 			}
 		})
--- a/outbound/pool.go
+++ b/outbound/pool.go
@@ -17,20 +17,22 @@
 // and one for others.
 const usualPerPeer = 2
 
-// patience is how long a call waits for one of these before another connection is opened, which takes about
-// as long as a call.
-const patience = 25 * time.Millisecond
+// defaultPatience is how long a call waits for one of these before another connection is opened, which takes
+// about as long as a call.
+const defaultPatience = 25 * time.Millisecond
 
 // How long connections stay idle.
 const (
-	maxIdle      = 10 * time.Second       // until they are closed
-	maxUnchecked = 300 * time.Millisecond // until it is checked whether the peer has closed them, before they are used
+	maxIdle             = 10 * time.Second       // until they are closed
+	defaultMaxUnchecked = 300 * time.Millisecond // until it is checked whether the peer has closed them, before they are used
 )
 
 // pool holds the connections to all peers. At most maxOpen are open; when all are, the one that is idle for
 // the longest makes room for another peer's.
 type pool struct {
 	maxOpen, maxPerPeer int
+	patience            time.Duration // how long a call waits for one of usualPerPeer connections
+	maxUnchecked        time.Duration // how long a connection may be idle and is used without a check
 	dial                DialFunc
 	open                *semaphore.Weighted // connections that are open or being opened
 
@@ -58,7 +60,10 @@
 }
 
 func newPool(dial DialFunc, opts []Option) *pool {
-	p := &pool{maxOpen: defaultMaxOpen, maxPerPeer: defaultPerPeer, dial: dial, peers: map[string]*peer{}, idle: list.New()}
+	p := &pool{
+		maxOpen: defaultMaxOpen, maxPerPeer: defaultPerPeer, patience: defaultPatience, maxUnchecked: defaultMaxUnchecked,
+		dial: dial, peers: map[string]*peer{}, idle: list.New(),
+	}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -112,7 +117,7 @@
 	for {
 		conn, mayOpen := p.takeIdle(x)
 		switch {
-		case conn != nil && (time.Since(conn.idleSince) < maxUnchecked || !closedByPeer(conn.Conn)):
+		case conn != nil && (time.Since(conn.idleSince) < p.maxUnchecked || !closedByPeer(conn.Conn)):
 			return conn
 		case conn != nil:
 			p.close(conn)
@@ -122,7 +127,7 @@
 			return nil
 		}
 		if patient == nil {
-			t := time.NewTimer(min(patience, time.Until(deadline)))
+			t := time.NewTimer(min(p.patience, time.Until(deadline)))
 			defer t.Stop()
 			patient = t.C
 		}
