A limit of starts that nothing waits for is no overload

Suspected cause, by reading: a few slow answers, of slow agents or after a stall, let the limit of starts under way fall below its most, and the order of overload then puts the newest workflows first for a second, although the leader keeps up.

Change: fewer than 30 answers in a window don't cut the limit, and overload means that a plan had to wait for answers in this window or the one before.

--- a/flow/plan.go
+++ b/flow/plan.go
@@ -36,6 +36,7 @@
 	}
 	s.startsUnderWay = s.startsUnderWay.at(s.now)
 	if s.startsUnderWay.room() < min(minPlacements, int(minRoomShare*float64(s.startsUnderWay.limit()))) {
+		s.startsUnderWay = s.startsUnderWay.withPlanHeldBack()
 		return
 	}
 	if s.placementsProposedAt != 0 {
--- a/flow/underway.go
+++ b/flow/underway.go
@@ -19,6 +19,7 @@
 	answerTimeGoal    = 120 * time.Millisecond // in which a plan is made and committed
 	maxLimitGrowth    = 1.25                   // from window to window
 	maxLimitCut       = 0.5
+	minAnswersToCut   = 30 // in a window; a few slow agents say nothing about the leader
 )
 
 // startsUnderWay counts the starts of the last moments that aren't answered yet, and limits them.
@@ -29,6 +30,8 @@
 	answered int           // in the present window
 	waited   time.Duration // in total, for these answers
 	below    int           // maxStartsUnderWay less the limit
+	binds    bool          // a plan had to wait for answers in the present window
+	bound    bool          // the same, in the window before
 }
 
 // at returns u with the windows at the given time.
@@ -39,7 +42,7 @@
 	}
 	next := startsUnderWay{since: now, below: maxStartsUnderWay - u.nextLimit()}
 	if age < 2*startWindow {
-		next.since, next.earlier = u.since.Add(startWindow), u.recent
+		next.since, next.earlier, next.bound = u.since.Add(startWindow), u.recent, u.binds
 	}
 	return next
 }
@@ -50,6 +53,9 @@
 	if u.answered > 0 && u.waited > 0 {
 		goal := float64(answerTimeGoal) * float64(u.answered)
 		factor = min(max(goal/float64(u.waited), maxLimitCut), maxLimitGrowth)
+		if u.answered < minAnswersToCut {
+			factor = max(factor, 1)
+		}
 	}
 	return min(max(int(float64(u.limit())*factor), minStartsUnderWay), maxStartsUnderWay)
 }
@@ -87,8 +93,15 @@
 // limit returns how many starts may be under way.
 func (u startsUnderWay) limit() int { return maxStartsUnderWay - u.below }
 
-// overloaded reports whether more starts are asked for than can be answered in time.
-func (u startsUnderWay) overloaded() bool { return u.below > 0 }
+// withPlanHeldBack returns u after a plan had to wait for answers.
+func (u startsUnderWay) withPlanHeldBack() startsUnderWay {
+	u.binds = true
+	return u
+}
+
+// overloaded reports whether more starts are asked for than can be answered in time. A limit that has
+// fallen isn't enough: nothing may be waiting for it.
+func (u startsUnderWay) overloaded() bool { return u.below > 0 && (u.binds || u.bound) }
 
 // room returns how many more starts may be sent.
 func (u startsUnderWay) room() int { return u.limit() - u.count() }
--- a/flow/underway_test.go
+++ b/flow/underway_test.go
@@ -91,6 +91,42 @@
 	}
 }
 
+// TestFewSlowAnswersAreNoOverload guards against an order of overload on a leader that keeps up: some slow
+// agents, or a stall of the process, let the limit fall that nothing waited for, and the oldest workflows
+// waited behind the newest (SHORT).
+func TestFewSlowAnswersAreNoOverload(t *testing.T) {
+	now := notch.Time(time.Hour)
+	answers := func(n int) startsUnderWay {
+		u := startsUnderWay{}.at(now)
+		for range n {
+			u = u.withSent(now).withAnswered(now.Add(-2*answerTimeGoal), now)
+		}
+		return u
+	}
+	for _, c := range []struct {
+		name       string
+		u          startsUnderWay
+		limit      int
+		overloaded bool
+	}{
+		{"a few slow answers", answers(minAnswersToCut - 1), maxStartsUnderWay, false},
+		{"many, and no plan waits", answers(minAnswersToCut), maxStartsUnderWay / 2, false},
+		{"many, and a plan waits", answers(minAnswersToCut).withPlanHeldBack(), maxStartsUnderWay / 2, true},
+	} {
+		u := c.u.at(now.Add(startWindow))
+		if got := u.limit(); got != c.limit {
+			t.Errorf("%s: got limit %d, want %d", c.name, got, c.limit)
+		}
+		if got := u.overloaded(); got != c.overloaded {
+			t.Errorf("%s: got overloaded %v, want %v", c.name, got, c.overloaded)
+		}
+	}
+	held := answers(minAnswersToCut).withPlanHeldBack().at(now.Add(startWindow)).at(now.Add(2 * startWindow))
+	if held.overloaded() {
+		t.Error("overloaded a window after plans stopped waiting, want it over")
+	}
+}
+
 // Starts to agents that are silent don't keep other agents' runs waiting for long.
 func TestOldStartsDontCountAsUnderWay(t *testing.T) {
 	var u startsUnderWay
