At least 300 starts under way, and the newest first only while they are in time

Change: the limit of starts under way falls to 300 at the least. The order of overload applies to workflows that can still meet their objective; those that can't go by age, as before.

--- a/assign/order.go
+++ b/assign/order.go
@@ -17,7 +17,8 @@
 //
 // While more starts are asked for than can be sent, the least slack would go to the workflows that are
 // about to miss their objective: all would miss it a little. Instead, what has begun is completed first,
-// as the starts spent on it are lost otherwise, and then those begin that have the most time left.
+// as the starts spent on it are lost otherwise, and then those begin that have the most time left. Those
+// that have missed their objective wait in the order of their age.
 type BySlack struct{}
 
 // The fields of a rank, most significant first: whether the task was interrupted, the priority of its
@@ -46,7 +47,7 @@
 func (BySlack) Rank(t notch.ReadyTask, now notch.Time) int64 {
 	const maxSlack = int64(1)<<slackBits - 1
 	u, slack := urgencyOf(t, now)
-	postponed := t.Overloaded && !t.Begun && !t.LongRunning
+	postponed := t.Overloaded && !t.Begun && u == meetsObjective
 	if postponed {
 		slack = -slack
 	}
--- a/flow/underway.go
+++ b/flow/underway.go
@@ -15,7 +15,7 @@
 // does each step of a short workflow, whatever the order of the plans.
 const (
 	maxStartsUnderWay = 500
-	minStartsUnderWay = 150                    // with which a leader that can carry more still finds that out
+	minStartsUnderWay = 300                    // with which a leader that can carry more still finds that out
 	answerTimeGoal    = 120 * time.Millisecond // in which a plan is made and committed
 	maxLimitGrowth    = 1.25                   // from window to window
 	maxLimitCut       = 0.5
