--- a/fake/agentload_test.go
+++ b/fake/agentload_test.go
@@ -72,7 +72,7 @@
 	CancelAfter   time.Duration `yaml:"cancel-after"` // 0: the workflows aren't cancelled
 }
 
-func readAgentLoad(t *testing.T, path string) agentLoad {
+func readAgentLoad(t testing.TB, path string) agentLoad {
 	f, err := os.Open(path)
 	if err != nil {
 		t.Fatal(err)
@@ -125,7 +125,7 @@
 )
 
 // newLoadTest starts the daemons and the agents and puts the routes in force.
-func newLoadTest(t *testing.T, load agentLoad, seed uint64) *loadTest {
+func newLoadTest(t testing.TB, load agentLoad, seed uint64) *loadTest {
 	l := &loadTest{Testbed: New(seed), load: load, byID: map[string]*loadWorkflow{}}
 	l.Policies.Replicas = load.Replicas
 	limitProcessors(l.Testbed, load.Cores).callTime = cmp.Or(load.CallTime, agentCallTime)
