Sessions of agents are held by pointer

Each change of one session copied a leaf of 32 of them by value, some 7 KB, and several sessions change with each start and each poll: a fifth of what the reducers allocate (pprof of BenchmarkStarts). The map now holds pointers to values that are never modified.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -199,7 +199,7 @@
 // placements that it didn't know of may have been committed since, or the agent may be draining.
 func (s *stepper) mayAdd(a notch.Agent, task notch.TaskRef, st *notch.Stage) bool {
 	load, _ := s.loads.Get(a.ID)
-	session, _ := s.sessions.Get(a.ID)
+	session, _ := s.session(a.ID)
 	if a.Draining || session.hasStrays || !st.Reserved().Fits(a.Size.Minus(load.reserved)) {
 		return false
 	}
--- a/flow/colocate.go
+++ b/flow/colocate.go
@@ -251,7 +251,7 @@
 		return
 	}
 	s.cpuLimitsByRun = s.cpuLimitsByRun.Set(ref, cpuLimit{percent: percent, changedAt: s.now})
-	session, _ := s.sessions.Get(a.ID)
+	session, _ := s.session(a.ID)
 	s.sendOrder(a, notch.AgentOrder{Kind: notch.AgentLimitCPU, Token: session.token, Run: ref, Percent: percent})
 }
 
--- a/flow/dump.go
+++ b/flow/dump.go
@@ -30,7 +30,7 @@
 	for it := p.agents.Iterator(); !it.Done(); {
 		id, a, _ := it.Next()
 		load, _ := p.loads.Get(id)
-		session, _ := p.sessions.Get(id)
+		session, _ := p.session(id)
 		colocated, _ := p.colocations.Get(id)
 		out.Agents = append(out.Agents, AgentState{
 			ID: id, Born: a.Born, Draining: a.Draining, Left: a.Left, Runs: len(load.runs), MilliCPU: load.reserved.MilliCPU,
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -102,7 +102,7 @@
 	leadership           notch.Leadership
 	incarnations         uint64 // number of agent incarnations met in this term
 	fencedTerm           uint64 // term in which an agent refused an order because of a later leader's token
-	sessions             *immutable.SortedMap[string, agentSession]
+	sessions             *immutable.SortedMap[string, *agentSession] // by agent
 	losses               []agentLoss // of the last seconds; never modified in place
 	runOrders            *immutable.Map[notch.RunRef, runOrders]
 	startsUnderWay       startsUnderWay
@@ -152,7 +152,7 @@
 
 // withoutLeaderState returns p without the state that only a leader knows.
 func (p Part) withoutLeaderState() Part {
-	p.sessions = immutable.NewSortedMap[string, agentSession](nil)
+	p.sessions = immutable.NewSortedMap[string, *agentSession](nil)
 	p.losses, p.startsUnderWay = nil, startsUnderWay{}
 	p.runOrders = immutable.NewMap[notch.RunRef, runOrders](runRefHasher{})
 	p.cpuLimitsByRun = immutable.NewMap[notch.RunRef, cpuLimit](runRefHasher{})
--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -62,7 +62,7 @@
 		if a.Left && len(load.runs) == 0 {
 			continue
 		}
-		s.sessions = s.sessions.Set(a.ID, agentSession{
+		s.putSession(a.ID, agentSession{
 			incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: s.formerLease(a, formerLeasesEnd),
 			staleOrdersUntil: l.Ready.Add(maxOrderDelay), // the agent may have restarted just before
 		})
@@ -135,11 +135,11 @@
 	if restarted {
 		l = l.WithStaleGrants(s.timing.MaxLease)
 	}
-	before, _ := s.sessions.Get(a.ID)
+	before, _ := s.session(a.ID)
 	if restarted && before.unanswered == 0 {
 		s.recordLoss(a)
 	}
-	s.sessions = s.sessions.Set(a.ID, agentSession{
+	s.putSession(a.ID, agentSession{
 		incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: l, staleOrdersUntil: s.now.Add(maxOrderDelay),
 		predecessorAnsweredAt: before.lastAnsweredAt,
 	})
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -32,7 +32,7 @@
 		s.processLists(session, a, b)
 		return
 	}
-	s.sessions = s.sessions.Set(session.incarnation.Agent, session)
+	s.putSession(session.incarnation.Agent, session)
 }
 
 // maxBackoff limits the pause between orders to an agent that doesn't answer, in units of
@@ -70,7 +70,7 @@
 	if len(ends) == 0 && listsAgain {
 		session.nextRenewalAt = s.now.Add(missingRunPoll)
 	}
-	s.sessions = s.sessions.Set(a.ID, session)
+	s.putSession(a.ID, session)
 	if len(ends) > 0 {
 		return
 	}
@@ -296,12 +296,12 @@
 
 // endsCommitted acknowledges an agent's ends after they were committed.
 func (s *stepper) endsCommitted(committed notch.EndRuns) {
-	session, ok := s.sessions.Get(committed.Life.Agent)
+	session, ok := s.session(committed.Life.Agent)
 	if !ok || session.incarnation != committed.Life || committed.UpTo <= session.committedUpTo {
 		return
 	}
 	session.committedUpTo = committed.UpTo
 	session.proposedUpTo = max(session.proposedUpTo, committed.UpTo)
-	s.sessions = s.sessions.Set(committed.Life.Agent, session)
+	s.putSession(committed.Life.Agent, session)
 	s.renewLease(committed.Life.Agent)
 }
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -9,7 +9,7 @@
 
 // renewLease sends an agent a lease renewal, which also requests its lists of runs and ends.
 func (s *stepper) renewLease(id string) {
-	session, ok := s.sessions.Get(id)
+	session, ok := s.session(id)
 	a, known := s.agents.Get(id)
 	if !ok || !known || session.renewalSentAt != 0 || !s.mayOrder() {
 		return
@@ -31,7 +31,7 @@
 	}
 	session.lease = session.lease.WithGrant(o.Deadline)
 	session.renewalSentAt = s.now
-	s.sessions = s.sessions.Set(id, session)
+	s.putSession(id, session)
 	s.sendOrder(a, o)
 }
 
@@ -60,7 +60,7 @@
 	if !s.placedHere(r) {
 		return
 	}
-	session, ok := s.sessions.Get(a.ID)
+	session, ok := s.session(a.ID)
 	if !ok || !s.mayOrder() {
 		s.withholdStart(ref)
 		return
@@ -70,7 +70,7 @@
 		Deadline: session.lease.Deadline(s.now, s.timing.Lease),
 	}
 	session.lease = session.lease.WithGrant(o.Deadline)
-	s.sessions = s.sessions.Set(a.ID, session)
+	s.putSession(a.ID, session)
 	s.runOrders = s.runOrders.Set(ref, runOrders{})
 	s.startsUnderWay = s.startsUnderWay.withSent(s.now)
 	s.sendOrder(a, o)
@@ -106,7 +106,7 @@
 	}
 	orders.stopSentAt = s.now
 	s.runOrders = s.runOrders.Set(ref, orders)
-	session, _ := s.sessions.Get(a.ID)
+	session, _ := s.session(a.ID)
 	s.sendOrder(a, notch.AgentOrder{Kind: notch.AgentStop, Token: session.token, Run: ref})
 }
 
@@ -118,14 +118,14 @@
 	if b.Answer.Reason == notch.ReasonMalformed {
 		s.logMessage("answer not understood", notch.TextField("agent", b.Life.Agent), notch.TextField("order", string(b.Order.Kind)))
 	}
-	session, ok := s.sessions.Get(b.Life.Agent)
+	session, ok := s.session(b.Life.Agent)
 	if b.Answer.Kind == notch.AgentRefused && b.Answer.Reason == notch.ReasonFenced && b.Order.Token == session.token {
 		s.deposed(b)
 		return
 	}
 	if ok && session.incarnation == b.Life && b.Answer.Clock != 0 && (b.Answer.Born == 0 || b.Answer.Born == session.incarnation.Born) {
 		session.lease = session.lease.WithClock(b.Answer.Clock, s.now)
-		s.sessions = s.sessions.Set(b.Life.Agent, session)
+		s.putSession(b.Life.Agent, session)
 	}
 	switch b.Order.Kind {
 	case notch.AgentRenew:
@@ -171,9 +171,9 @@
 	if b.Answer.Kind == notch.AgentOK || b.Answer.Kind == notch.AgentNoAnswer {
 		return
 	}
-	if session, ok := s.sessions.Get(b.Life.Agent); ok {
+	if session, ok := s.session(b.Life.Agent); ok {
 		session.noRunsBefore = s.now.Add(pauseAfterRefusal)
-		s.sessions = s.sessions.Set(b.Life.Agent, session)
+		s.putSession(b.Life.Agent, session)
 	}
 	s.propose(notch.EndRuns{Life: b.Life, Ends: []notch.RunEnd{{Run: ref, Kind: notch.RunNotStarted}}})
 }
--- a/flow/session.go
+++ b/flow/session.go
@@ -31,6 +31,20 @@
 	staleOrdersUntil      notch.Time // until then, orders to an earlier incarnation may take effect in this one
 }
 
+// session returns the session of an agent, or false if the leader has none.
+func (p Part) session(agent string) (agentSession, bool) {
+	session, ok := p.sessions.Get(agent)
+	if !ok {
+		return agentSession{}, false
+	}
+	return *session, true
+}
+
+// putSession replaces the session of an agent.
+func (s *stepper) putSession(agent string, session agentSession) {
+	s.sessions = s.sessions.Set(agent, &session)
+}
+
 // agentClock is a reading of the clock of one incarnation of an agent.
 type agentClock struct {
 	incarnation notch.AgentIncarnation
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -18,7 +18,7 @@
 		id, session, _ := it.Next()
 		load, _ := s.loads.Get(id)
 		if len(load.runs) > 0 && s.now.Sub(session.endsProposedAt) >= s.timing.ReproposeInterval {
-			s.abandonRuns(id, session, load.runs)
+			s.abandonRuns(id, *session, load.runs)
 		}
 		if session.renewalSentAt == 0 && !s.now.Before(session.nextRenewalAt) {
 			a, _ := s.agents.Get(id)
@@ -48,7 +48,7 @@
 		return
 	}
 	session.endsProposedAt = s.now
-	s.sessions = s.sessions.Set(id, session)
+	s.putSession(id, session)
 	a, _ := s.agents.Get(id)
 	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(notch.RunLeaseExpired)),
 		notch.IntField("runs", len(abandoned)), notch.TextField("left", strconv.FormatBool(a.Left)))
--- a/flow/views.go
+++ b/flow/views.go
@@ -61,8 +61,8 @@
 	for it := s.sessions.Iterator(); !it.Done(); {
 		id, session, _ := it.Next()
 		a, ok := s.agents.Get(id)
-		if ok && a.Pool == pool.Name && s.acceptsRuns(pool, a, session) {
-			v.add(a, session, remembered.agent(id))
+		if ok && a.Pool == pool.Name && s.acceptsRuns(pool, a, *session) {
+			v.add(a, *session, remembered.agent(id))
 		}
 	}
 	v.hasImages, v.hostsSuspect = make([]bool, len(v.agents)), make([]bool, len(v.agents))
