--- a/consensus/log.go
+++ b/consensus/log.go
@@ -10,13 +10,13 @@
 type log struct {
 	base     uint64 // index of the entry before the first one in the list
 	baseTerm uint64 // term of the entry at base
-	entries  *immutable.List[notch.LogEntry]
+	entries  *immutable.List[*notch.LogEntry]
 }
 
 func newLog() log { return newLogAt(0, 0) }
 
 func newLogAt(index, term uint64) log {
-	return log{base: index, baseTerm: term, entries: immutable.NewList[notch.LogEntry]()}
+	return log{base: index, baseTerm: term, entries: immutable.NewList[*notch.LogEntry]()}
 }
 
 func (l log) lastIndex() uint64 { return l.base + uint64(l.entries.Len()) }
@@ -34,7 +34,7 @@
 	return l.entryAt(index).Term
 }
 
-func (l log) entryAt(index uint64) notch.LogEntry { return l.entries.Get(int(index - l.base - 1)) }
+func (l log) entryAt(index uint64) notch.LogEntry { return *l.entries.Get(int(index - l.base - 1)) }
 
 // slice returns up to n entries, starting at index.
 func (l log) slice(index uint64, n int) []notch.LogEntry {
@@ -60,7 +60,7 @@
 }
 
 func (l log) withEntry(e notch.LogEntry) log {
-	l.entries = l.entries.Append(e)
+	l.entries = l.entries.Append(&e)
 	return l
 }
 
