The index of workflows that wait holds their ids

It held the workflows, so that each change of a task also changed a sorted map. Plans look the workflows up instead.

--- a/flow/flow.go
+++ b/flow/flow.go
@@ -90,7 +90,7 @@
 	agents    *immutable.SortedMap[string, *notch.Agent]
 
 	// Derived from the replicated state:
-	waiting        *immutable.SortedMap[string, *graph.Workflow]  // workflows with open tasks without a run, by id
+	waiting        *immutable.SortedMap[string, struct{}]         // ids of the workflows with open tasks without a run
 	active         int                                            // number of workflows that have tasks to run or runs to end
 	queuedByRoute  *immutable.Map[string, int]                    // number of workflows of which no task has started
 	loads          *immutable.Map[string, *agentLoad]             // by agent
@@ -147,7 +147,7 @@
 func (p Part) withoutReplicatedState() Part {
 	p.workflows = immutable.NewMap[string, *graph.Workflow](nil)
 	p.agents = immutable.NewSortedMap[string, *notch.Agent](nil)
-	p.waiting = immutable.NewSortedMap[string, *graph.Workflow](nil)
+	p.waiting = immutable.NewSortedMap[string, struct{}](nil)
 	p.active = 0
 	p.queuedByRoute = immutable.NewMap[string, int](nil)
 	p.loads = immutable.NewMap[string, *agentLoad](nil)
--- a/flow/ready.go
+++ b/flow/ready.go
@@ -47,7 +47,8 @@
 // returns the number of groups that it examined.
 func (s *stepper) readyGroups() (out []readyGroup, examined int) {
 	for it := s.waiting.Iterator(); !it.Done(); {
-		_, w, _ := it.Next()
+		id, _, _ := it.Next()
+		w, _ := s.workflows.Get(id)
 		due := s.dueGroups(w)
 		examined += due
 		for g := range due {
--- a/flow/workflows.go
+++ b/flow/workflows.go
@@ -23,9 +23,10 @@
 // indexWorkflow updates the data that plans and queries read in place of all workflows. Old is
 // nil if the workflow is new.
 func (s *stepper) indexWorkflow(old, w *graph.Workflow) {
-	if w.HasWaiting() {
-		s.waiting = s.waiting.Set(w.Flow.ID, w)
-	} else {
+	switch had := old != nil && old.HasWaiting(); {
+	case w.HasWaiting() && !had:
+		s.waiting = s.waiting.Set(w.Flow.ID, struct{}{})
+	case had && !w.HasWaiting():
 		s.waiting = s.waiting.Delete(w.Flow.ID)
 	}
 	if isActive(w) != isActive(old) {
--- a/flow/workflows_test.go
+++ b/flow/workflows_test.go
@@ -36,7 +36,8 @@
 	var runs []notch.RunRef
 	life := notch.AgentIncarnation{Agent: rapid.SampledFrom([]string{"w0", "w1"}).Draw(t, "agent"), Born: 1}
 	for it := p.waiting.Iterator(); !it.Done(); {
-		_, w, _ := it.Next()
+		id, _, _ := it.Next()
+		w, _ := p.workflows.Get(id)
 		for g := range w.GroupCount() {
 			w.EachWaiting(g, func(ref notch.TaskRef, t notch.WorkflowTask) bool {
 				placeable = append(placeable, notch.RunPlacement{Task: ref, After: t.Latest, Life: life})
@@ -77,7 +78,8 @@
 	queued, _ := p.queuedByRoute.Get("r")
 	fmt.Fprintf(&out, "active %d, queued %d\n", p.active, queued)
 	for it := p.waiting.Iterator(); !it.Done(); {
-		id, w, _ := it.Next()
+		id, _, _ := it.Next()
+		w, _ := p.workflows.Get(id)
 		fmt.Fprintf(&out, "%s waits: %v\n", id, waitingByGroup(w))
 	}
 	for _, id := range []string{"w0", "w1"} {
