Placed runs of one workflow are put back together

A plan places up to dozens of tasks of a workflow one after the other, and each put the workflow into its map anew.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -161,38 +161,56 @@
 // it, and all replicas must derive the same state from an entry.
 func (s *stepper) placeRuns(c notch.PlaceRuns, at notch.Time) {
 	s.placementsProposedAt = 0
+	// The tasks of a workflow mostly follow one another, so it is put back once for all of them.
+	var w *graph.Workflow
 	for _, pl := range c.Placements {
-		w, t, a, ok := s.placementTarget(pl)
+		if w == nil || w.Flow.ID != pl.Task.Flow {
+			s.putPlaced(w)
+			w, _ = s.workflows.Get(pl.Task.Flow)
+		}
+		t, a, ok := s.placementTarget(w, pl)
 		if !ok {
 			s.planMemory = planMemory{} // the plan counted on this run
 			continue
 		}
-		r := notch.Run{Number: t.Latest + 1, Life: pl.Life, Token: c.Token, Since: at}
-		st := &w.Flow.Stages[pl.Task.Stage]
-		accepts := s.mayAdd(a, pl.Task, st)
-		s.putWorkflow(w.WithTask(pl.Task, t.WithRun(r), at))
-		ref := notch.RunRef{Task: pl.Task, Number: r.Number}
-		s.addRun(a.ID, ref, st)
-		if !accepts {
-			s.withdrawRun(a, ref, r)
-			continue
-		}
-		s.startRun(a, w.Flow.Spec, ref, r, t.Saved)
+		w = s.placeRun(w, pl.Task, t, a, notch.Run{Number: t.Latest + 1, Life: pl.Life, Token: c.Token, Since: at}, at)
 	}
+	s.putPlaced(w)
 	s.count("runs-placed", len(c.Placements))
 }
 
-// placementTarget returns the workflow, the task and the agent of a placement. It returns false if
-// the placement no longer fits their state.
-func (s *stepper) placementTarget(pl notch.RunPlacement) (*graph.Workflow, notch.WorkflowTask, notch.Agent, bool) {
-	w, ok := s.workflows.Get(pl.Task.Flow)
-	if !ok {
-		return nil, notch.WorkflowTask{}, notch.Agent{}, false
+// putPlaced replaces a workflow after some of its tasks were placed; nil is none.
+func (s *stepper) putPlaced(w *graph.Workflow) {
+	if w != nil {
+		s.putWorkflow(w)
+	}
+}
+
+// placeRun returns a workflow with one more run of a task, and sends the start of the run if this leader
+// placed it.
+func (s *stepper) placeRun(w *graph.Workflow, task notch.TaskRef, t notch.WorkflowTask, a notch.Agent, r notch.Run, at notch.Time) *graph.Workflow {
+	ref := notch.RunRef{Task: task, Number: r.Number}
+	st := &w.Flow.Stages[task.Stage]
+	accepts := s.mayAdd(a, task, st)
+	s.addRun(a.ID, ref, st)
+	if accepts {
+		s.startRun(a, w.Flow.Spec, ref, r, t.Saved)
+	} else {
+		s.withdrawRun(a, ref, r)
+	}
+	return w.WithTask(task, t.WithRun(r), at)
+}
+
+// placementTarget returns the task and the agent of a placement of a workflow's task. It returns false if
+// the placement no longer fits their state. The workflow is nil if it isn't known.
+func (s *stepper) placementTarget(w *graph.Workflow, pl notch.RunPlacement) (notch.WorkflowTask, notch.Agent, bool) {
+	if w == nil {
+		return notch.WorkflowTask{}, notch.Agent{}, false
 	}
 	t, ok := w.Task(pl.Task)
 	a, known := s.agent(pl.Life.Agent)
 	fits := ok && known && a.Incarnation() == pl.Life && !a.Left && t.Latest == pl.After && w.MayRun(t)
-	return w, t, a, fits
+	return t, a, fits
 }
 
 // mayAdd reports whether one more task of a stage may start on an agent. The plan checked that, but
