A session is put back once for each answer

The answer to a renewal, and the commit of its ends, each changed the session twice: for what was learned and for the next renewal.

--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -62,11 +62,10 @@
 		if a.Left && len(load.runs) == 0 {
 			continue
 		}
-		s.putSession(a.ID, agentSession{
+		s.putSession(a.ID, s.renewed(agentSession{
 			incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: s.formerLease(*a, formerLeasesEnd),
 			staleOrdersUntil: l.Ready.Add(maxOrderDelay), // the agent may have restarted just before
-		})
-		s.renewLease(a.ID)
+		}))
 	}
 	s.needsPlan = true
 }
@@ -139,9 +138,8 @@
 	if restarted && before.unanswered == 0 {
 		s.recordLoss(a)
 	}
-	s.putSession(a.ID, agentSession{
+	s.putSession(a.ID, s.renewed(agentSession{
 		incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: l, staleOrdersUntil: s.now.Add(maxOrderDelay),
 		predecessorAnsweredAt: before.lastAnsweredAt,
-	})
-	s.renewLease(a.ID)
+	}))
 }
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -70,14 +70,13 @@
 	if len(ends) == 0 && listsAgain {
 		session.nextRenewalAt = s.now.Add(missingRunPoll)
 	}
-	s.putSession(a.ID, session)
-	if len(ends) > 0 {
-		return
+	if len(ends) == 0 {
+		s.commitClock(session, b.Answer)
 	}
-	s.commitClock(session, b.Answer)
-	if !listsAgain {
-		s.renewLease(a.ID)
+	if len(ends) == 0 && !listsAgain {
+		session = s.renewed(session)
 	}
+	s.putSession(a.ID, session)
 }
 
 // maxClockReadingAge limits the age of the committed reading of the clock of an agent with runs.
@@ -302,6 +301,5 @@
 	}
 	session.committedUpTo = committed.UpTo
 	session.proposedUpTo = max(session.proposedUpTo, committed.UpTo)
-	s.putSession(committed.Life.Agent, session)
-	s.renewLease(committed.Life.Agent)
+	s.putSession(committed.Life.Agent, s.renewed(session))
 }
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -9,10 +9,21 @@
 
 // renewLease sends an agent a lease renewal, which also requests its lists of runs and ends.
 func (s *stepper) renewLease(id string) {
-	session, ok := s.session(id)
-	a, known := s.agent(id)
-	if !ok || !known || session.renewalSentAt != 0 || !s.mayOrder() {
-		return
+	if session, ok := s.session(id); ok && s.mayRenew(session) {
+		s.putSession(id, s.renewed(session))
+	}
+}
+
+// mayRenew reports whether a lease renewal may be sent to the agent of a session.
+func (s *stepper) mayRenew(session agentSession) bool {
+	_, known := s.agents.Get(session.incarnation.Agent)
+	return known && session.renewalSentAt == 0 && s.mayOrder()
+}
+
+// renewed sends a lease renewal to the agent of a session, if it may, and returns the session after that.
+func (s *stepper) renewed(session agentSession) agentSession {
+	if !s.mayRenew(session) {
+		return session
 	}
 	o := notch.AgentOrder{Kind: notch.AgentRenew, Token: session.token}
 	if session.unanswered == 0 && !session.succeeded {
@@ -26,13 +37,14 @@
 			o.Ack = session.committedUpTo
 		}
 	}
+	a, _ := s.agent(session.incarnation.Agent)
 	if session.lastAnsweredAt != 0 && session.unanswered == 0 && session.proposedUpTo == session.committedUpTo {
-		o.Wait = s.longPoll(id, session)
+		o.Wait = s.longPoll(a.ID, session)
 	}
 	session.lease = session.lease.WithGrant(o.Deadline)
 	session.renewalSentAt = s.now
-	s.putSession(id, session)
 	s.sendOrder(a, o)
+	return session
 }
 
 // missingRunPoll is how long an agent may delay its answer while one of its runs is missing. Whether
