--- a/daemon/main.go
+++ b/daemon/main.go
@@ -44,7 +44,7 @@
 // exceeds the limit is killed.
 const (
 	gcPercentWithLimit = 100 // percent
-	gcPercentReplica   = 200 // percent; for replicas, which allocate the most
+	gcPercentReplica   = 400 // percent; for replicas, which allocate the most
 	softLimitShare     = 0.7 // of the memory limit
 )
 
