An answer to a renewal looks each run up once and stores its session once

The lists of an agent were checked by four look-ups a run in progress, and the session was stored for the clock and again for the lists.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -6,6 +6,7 @@
 	"time"
 
 	notch "tamaracknotch"
+	"tamaracknotch/graph"
 )
 
 // renewalAnswered handles the answer to a lease renewal.
@@ -52,8 +53,8 @@
 	ends = append(ends, s.unfoundedSuspicions(session)...)
 	session.hasStrays = false
 	for _, l := range b.Answer.Live {
-		s.checkLiveRun(session, a, l)
-		session.hasStrays = session.hasStrays || !s.isPlacedOn(session.incarnation, l.Run)
+		placed := s.checkLiveRun(session, a, l)
+		session.hasStrays = session.hasStrays || !placed
 	}
 	s.controlColocation(a, b.Answer.Live)
 	s.evacuate(a, b.Answer.Live)
@@ -246,41 +247,40 @@
 }
 
 // checkLiveRun stops a run that an agent lists as live if the run isn't known or isn't wanted
-// any more. Otherwise it records that the run has started.
-func (s *stepper) checkLiveRun(session agentSession, a notch.Agent, l notch.LiveRun) {
-	if reason := s.whyUnwanted(session, l.Run); reason != "" {
-		s.logMessage("a run that shouldn't be live is stopped", runFields(l.Run, a.ID, reason)...)
+// any more. Otherwise it records that the run has started. It reports whether the run was placed on this
+// incarnation of the agent and isn't known to have ended.
+func (s *stepper) checkLiveRun(session agentSession, a notch.Agent, l notch.LiveRun) (placed bool) {
+	w, t, r, why := s.liveRun(session, l.Run)
+	if why == "" && !w.MayRun(t) {
+		why = "its task has ended"
+		placed = true
+	}
+	if why != "" {
+		s.logMessage("a run that shouldn't be live is stopped", runFields(l.Run, a.ID, why)...)
 		s.stopRun(a, l.Run)
-		return
+		return placed
 	}
-	r, _ := s.run(l.Run)
 	s.confirmStart(l.Run)
 	s.noteAtWork(l.Run, r)
+	return true
 }
 
-// isPlacedOn reports whether a run that isn't known to have ended was placed on an incarnation of an agent.
-func (s *stepper) isPlacedOn(incarnation notch.AgentIncarnation, ref notch.RunRef) bool {
-	r, ok := s.run(ref)
-	return ok && r.Life == incarnation
-}
-
-// whyUnwanted returns why an incarnation of an agent shouldn't have a run; empty if it should.
-func (s *stepper) whyUnwanted(session agentSession, ref notch.RunRef) string {
+// liveRun returns a run that an incarnation of an agent lists, with its workflow and its task, or why the
+// incarnation can't have it.
+func (s *stepper) liveRun(session agentSession, ref notch.RunRef) (w *graph.Workflow, t notch.WorkflowTask, r notch.Run, why string) {
 	w, ok := s.workflows.Get(ref.Task.Flow)
 	if !ok {
-		return "its workflow isn't known"
+		return nil, t, r, "its workflow isn't known"
 	}
-	t, _ := w.Task(ref.Task)
-	r, ok := t.Run(ref.Number)
+	t, _ = w.Task(ref.Task)
+	r, ok = t.Run(ref.Number)
 	switch {
 	case !ok:
-		return "it was given up or has ended"
+		why = "it was given up or has ended"
 	case r.Life != session.incarnation:
-		return "it was placed on another incarnation"
-	case !w.MayRun(t):
-		return "its task has ended"
+		why = "it was placed on another incarnation"
 	}
-	return ""
+	return w, t, r, why
 }
 
 // confirmStart records that a run has started, if no answer to the start has shown it.
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -137,7 +137,9 @@
 	}
 	if ok && session.incarnation == b.Life && b.Answer.Clock != 0 && (b.Answer.Born == 0 || b.Answer.Born == session.incarnation.Born) {
 		session.lease = session.lease.WithClock(b.Answer.Clock, s.now)
-		s.putSession(b.Life.Agent, session)
+		if b.Order.Kind != notch.AgentRenew { // renewalAnswered puts it back
+			s.putSession(b.Life.Agent, session)
+		}
 	}
 	switch b.Order.Kind {
 	case notch.AgentRenew:
