Entries for several replicas are encoded once

Replicas that lack the same entries get the same slice in a step, and the link encodes a slice once.

--- a/consensus/batch_test.go
+++ b/consensus/batch_test.go
@@ -44,3 +44,26 @@
 		t.Errorf("documents in a message: got %d bytes, want 1 to %d", got, maxSize)
 	}
 }
+
+// Replicas that lack the same entries got a copy each, which was encoded for each of them.
+func TestReplicasShareEntries(t *testing.T) {
+	s := stepper{Part: New(notch.Replica{Name: "a", Storage: 1})}
+	s.log = newLogAt(4, 1)
+	for i := range uint64(3) {
+		s.appendEntry(notch.LogEntry{Index: 5 + i, Term: 1, Command: notch.Noop{}})
+	}
+	for i, next := range []uint64{5, 5, 6} {
+		s.progress = append(s.progress, progress{replica: notch.Replica{Name: string(rune('b' + i)), Storage: 2}, match: next - 1, next: next})
+		s.sendAppend(i)
+	}
+	var sent [][]notch.LogEntry
+	for _, f := range s.effects {
+		sent = append(sent, f.(notch.Send).Message.(notch.AppendRequest).Entries)
+	}
+	if len(sent) != 3 || len(sent[0]) != 3 || &sent[0][0] != &sent[1][0] {
+		t.Errorf("got %v, want the same slice of 3 entries for two replicas", sent)
+	}
+	if len(sent) == 3 && (len(sent[2]) != 2 || sent[2][0].Index != 6) {
+		t.Errorf("got %v for the replica that lacks the last two entries", sent[2])
+	}
+}
--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -187,6 +187,7 @@
 	now     notch.Time
 	seed    uint64
 	effects []notch.Effect
+	batch   sharedBatch // the entries sent last
 }
 
 func (s *stepper) emit(b notch.Body) { s.effects = append(s.effects, notch.Emit{Body: b}) }
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -59,6 +59,12 @@
 	return out
 }
 
+// sharedBatch is the entries of a message, which several replicas may get in one step.
+type sharedBatch struct {
+	from    uint64 // index of the first one; zero: none was sent
+	entries []notch.LogEntry
+}
+
 func (l log) withEntry(e notch.LogEntry) log {
 	l.entries = l.entries.Append(&e)
 	return l
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -99,7 +99,11 @@
 		s.sendSnapshot(i)
 		return
 	}
-	s.sendEntries(i, s.log.batch(pr.next, s.limits.BatchEntries, s.limits.BatchBytes))
+	// Replicas that lack the same entries get the same slice, so that it is encoded once.
+	if s.batch.from != pr.next {
+		s.batch = sharedBatch{from: pr.next, entries: s.log.batch(pr.next, s.limits.BatchEntries, s.limits.BatchBytes)}
+	}
+	s.sendEntries(i, s.batch.entries)
 }
 
 // sendEntries sends entries to replica i that follow those sent before; none make a heartbeat.
--- a/link/link.go
+++ b/link/link.go
@@ -15,6 +15,7 @@
 	"time"
 
 	notch "tamaracknotch"
+	"tamaracknotch/wire"
 )
 
 // Path is the HTTP path at which a daemon accepts connections of other daemons.
@@ -49,6 +50,7 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	observe func(Sent) // called with each message sent
+	encoder *wire.Encoder
 
 	mu             sync.Mutex
 	hello          notch.Hello
@@ -79,7 +81,7 @@
 func New(key []byte, hello notch.Hello, post Post, opts ...Option) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Link{
-		key: key, post: post, ctx: ctx, cancel: cancel, hello: hello, observe: func(Sent) {},
+		key: key, post: post, ctx: ctx, cancel: cancel, hello: hello, observe: func(Sent) {}, encoder: wire.NewEncoder(),
 		peersByName: map[string]*peer{}, peersByAddress: map[string]*peer{},
 	}
 	for _, opt := range opts {
--- a/link/write.go
+++ b/link/write.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/coder/websocket"
-
-	"tamaracknotch/wire"
 )
 
 // writeLoop sends the messages of an outbox, and pings at intervals, until an error occurs
@@ -51,7 +49,7 @@
 		return nil
 	}
 	taken := time.Now()
-	b, err := wire.EncodeMessage(m.message)
+	b, err := l.encoder.EncodeMessage(m.message)
 	if err != nil {
 		return err
 	}
