A long batch of events is flushed in parts

The loop now flushes after at most 100 events; bursts of as many still share a sync.

TestLongBatchIsFlushedInParts is new; the loop flushed once at the end of a batch before.

--- a/drive/mailbox.go
+++ b/drive/mailbox.go
@@ -10,13 +10,16 @@
 // the effects of the step.
 type StepTimeFunc func(n *Node, b notch.Body, effects []notch.Effect) time.Duration
 
+// maxUnflushed is how many events are reduced without a flush, as in the engine.
+const maxUnflushed = 100
+
 // mailbox holds the events that wait while the control loop of a daemon is busy. It orders
 // them as the loop of the engine does.
 type mailbox struct {
 	urgent    []notch.Body // of high priority
 	normal    []notch.Body
 	tickDue   bool
-	batchLeft int  // number of normal events left in the batch
+	batchLeft int  // number of normal events left until a flush
 	flushDue  bool // an event was taken since the last flush
 	busy      bool // a step is under way
 }
@@ -44,7 +47,7 @@
 		m.tickDue, m.flushDue = false, true
 		return notch.Tick{}, true
 	case m.batchLeft == 0 && m.flushDue:
-		m.batchLeft, m.flushDue = len(m.normal), false
+		m.batchLeft, m.flushDue = min(len(m.normal), maxUnflushed), false
 		return notch.Flush{}, true
 	case len(m.normal) > 0:
 		b := m.normal[0]
--- a/engine/loop.go
+++ b/engine/loop.go
@@ -7,8 +7,8 @@
 )
 
 // loop is a goroutine that owns one state. It blocks until an event or a tick
-// arrives. It then reduces the queued events as one batch and ends the batch with a
-// Flush. Events of high priority and ticks that become due during the batch wait for
+// arrives. It then reduces the queued events as one batch, with a Flush after at most
+// maxUnflushed events and at the end. Events of high priority and ticks that become due during the batch wait for
 // one event of the batch at most.
 type loop struct {
 	state       notch.State // owned by the goroutine
@@ -51,13 +51,20 @@
 	return l
 }
 
-// reduceBatch reduces the queued events and a Flush. It returns whether the loop was
+// maxUnflushed is how many events are reduced without a Flush. What they have collected, such as log entries
+// for one sync, waits no longer than that for the events behind them.
+const maxUnflushed = 100
+
+// reduceBatch reduces the queued events, with a Flush after each part of them. It returns whether the loop was
 // closed before.
 func (l *loop) reduceBatch(ticks <-chan time.Time) (closed bool) {
 	queued := l.events.take()
 	l.meter.beginBatch(l.clock.Now(), len(queued.items), queued.oldestAt)
 	l.reduceUrgent()
-	for _, b := range queued.items {
+	for i, b := range queued.items {
+		if i > 0 && i%maxUnflushed == 0 {
+			l.reduce(notch.Flush{})
+		}
 		l.reduce(b)
 		l.reduceUrgent()
 		select {
--- a/engine/loop_test.go
+++ b/engine/loop_test.go
@@ -126,6 +126,34 @@
 	}
 }
 
+// With hundreds of events queued, the log entries of the first ones, and the plan that followed from them, waited
+// until all others were reduced: each step of a short workflow took that much longer.
+func TestLongBatchIsFlushedInParts(t *testing.T) {
+	r := newRecorder()
+	l := startTestLoop(r, time.Hour)
+	l.post(notch.CommandSubmitted{Ticket: 1})
+	<-r.started
+	const parts = 4
+	for range parts * maxUnflushed {
+		l.post(notch.LaneLoad{})
+	}
+	r.release <- struct{}{}
+	l.close()
+	unflushed, most, flushes := 0, 0, 0
+	for _, b := range r.receivedOf(isEither[notch.LaneLoad, notch.Flush]) {
+		if is[notch.Flush](b) {
+			unflushed = 0
+			flushes++
+			continue
+		}
+		unflushed++
+		most = max(most, unflushed)
+	}
+	if most != maxUnflushed || flushes != parts+1 {
+		t.Errorf("got %d events without a flush and %d flushes, want %d and %d", most, flushes, maxUnflushed, parts+1)
+	}
+}
+
 // A replica campaigned, or stepped down, although the message that keeps it from doing so had
 // arrived, because a due tick was reduced first.
 func TestQueuedMessagePassesDueTick(t *testing.T) {
