A burst of calls to one agent leaves the other agents their connections

A connection costs some 14 system calls, a call four. While all are open, a call now waits for up to 0.3 s before it takes another peer's.

TestBurstKeepsOtherPeersConnections failed before (8 and 3 connections, 2 and 1 wanted).

--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -245,3 +245,36 @@
 		println("may be sent to another peer")
 	}
 }
+
+// TestBurstKeepsOtherPeersConnections guards against a burst of calls to one peer that takes away the connections
+// of the others while all are open: each then had to be opened again, which costs more than a call.
+func TestBurstKeepsOtherPeersConnections(t *testing.T) {
+	const calls, patience = 6, 100 * time.Millisecond
+	busy, openedToBusy := serveCounted(t, patience*3/2)
+	other, openedToOther := serveCounted(t, 0)
+	c := New(WithMaxOpen(usualPerPeer + 1))
+	c.pool.patience = patience
+	for range 2 {
+		if _, _, err := post(c, other, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		var wg sync.WaitGroup
+		for range calls {
+			wg.Go(func() {
+				if _, _, err := post(c, busy, 10*time.Second); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	if _, _, err := post(c, other, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := openedToBusy.Load(), int64(usualPerPeer); got != want {
+		t.Errorf("connections to the busy peer: got %d, want %d", got, want)
+	}
+	if got, want := openedToOther.Load(), int64(1); got != want {
+		t.Errorf("connections to the other peer: got %d, want %d", got, want)
+	}
+}
--- a/outbound/pool.go
+++ b/outbound/pool.go
@@ -21,6 +21,10 @@
 // about as long as a call.
 const defaultPatience = 25 * time.Millisecond
 
+// crowdedPatience is the same, in units of patience, if all connections that may be open are: another one costs a
+// connection to another peer, which then has to be opened again.
+const crowdedPatience = 12
+
 // How long connections stay idle.
 const (
 	maxIdle             = 10 * time.Second       // until they are closed
@@ -114,7 +118,7 @@
 // one for a moment. It returns nil if the caller has to open one, which is then counted.
 func (p *pool) reuse(x *peer, deadline time.Time) *peerConn {
 	var patient <-chan time.Time
-	for {
+	for waits := 0; ; {
 		conn, mayOpen := p.takeIdle(x)
 		switch {
 		case conn != nil && (time.Since(conn.idleSince) < p.maxUnchecked || !closedByPeer(conn.Conn)):
@@ -134,6 +138,10 @@
 		select {
 		case <-x.freed:
 		case <-patient:
+			if waits++; waits < crowdedPatience && p.isFull() && time.Now().Before(deadline) {
+				patient = nil
+				continue
+			}
 			p.mu.Lock()
 			x.open++
 			p.mu.Unlock()
@@ -142,6 +150,15 @@
 	}
 }
 
+// isFull reports whether as many connections are open as may be.
+func (p *pool) isFull() bool {
+	if p.open.TryAcquire(1) {
+		p.open.Release(1)
+		return false
+	}
+	return true
+}
+
 // forget counts the end of a connection to a peer.
 func (p *pool) forget(x *peer) {
 	p.mu.Lock()
