--- a/share/entry_record.go
+++ b/share/entry_record.go
@@ -34,7 +34,7 @@
 }
 
 // maxInUse returns the most slots of a backend server that the entry may have in use.
-func (e entryRecord) maxInUse(id notch.ServerID) int {
+func (e *entryRecord) maxInUse(id notch.ServerID) int {
 	n := e.reported[id]
 	for _, g := range e.pending {
 		n = max(n, g.slots[id])
--- a/share/leader.go
+++ b/share/leader.go
@@ -1,9 +1,9 @@
 package share
 
 import (
-	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -22,8 +22,8 @@
 	history        tablesHistory // ends with tables
 	voters         []string
 	servers        []notch.BackendServer
-	entries        *immutable.SortedMap[string, entryRecord] // by name#incarnation
-	targets        map[string]map[notch.ServerID]int         // slots by entry key and backend server
+	entries        *immutable.SortedMap[string, *entryRecord] // by name#incarnation
+	targets        map[string]map[notch.ServerID]int          // slots by entry key and backend server
 	dividedAt      notch.Time
 	inputVersion   uint64 // incremented when an input of the grants changes
 	dividedVersion uint64 // inputVersion at the last division
@@ -49,7 +49,7 @@
 }
 
 // noEntries is an empty map of entries.
-var noEntries = immutable.NewSortedMap[string, entryRecord](nil)
+var noEntries = immutable.NewSortedMap[string, *entryRecord](nil)
 
 // Step implements [notch.Part].
 func (p Leader) Step(e notch.Event) (notch.Part, []notch.Effect) {
@@ -112,7 +112,7 @@
 
 // onLeave frees the slots of an entry that has left.
 func (p Leader) onLeave(from string, m notch.LeaveMessage) Leader {
-	return p.withoutEntries(func(e entryRecord) bool {
+	return p.withoutEntries(func(e *entryRecord) bool {
 		return e.name == from && (m.Incarnation == 0 || e.incarnation == m.Incarnation)
 	}).withDivisionDue()
 }
@@ -124,6 +124,11 @@
 	return p
 }
 
+// entryKey returns the key of an incarnation of an entry.
+func entryKey(name string, incarnation uint64) string {
+	return name + "#" + strconv.FormatUint(incarnation, 10)
+}
+
 func (p Leader) onReport(now notch.Time, from string, m notch.EntryReport) (notch.Part, []notch.Effect) {
 	lease := p.leaseDuration(now)
 	if !p.leadership.Leading || p.leadership.Ready == 0 || lease <= 0 {
@@ -132,8 +137,8 @@
 	if m.Term != p.leadership.Term {
 		m.Seq = 0
 	}
-	key := fmt.Sprintf("%s#%d", from, m.Incarnation)
-	e, known := p.entries.Get(key)
+	key := entryKey(from, m.Incarnation)
+	e, known := p.entry(key)
 	e.name, e.incarnation, e.domain = from, m.Incarnation, m.Domain
 	e, changed, ok := e.withRevision(m).withReport(m)
 	if !ok {
@@ -162,7 +167,7 @@
 		}
 		return p, g
 	}
-	e, _ := p.entries.Get(key)
+	e, _ := p.entry(key)
 	g.Changes = p.history.since(max(m.Revision, e.sentRevision))
 	if len(g.Changes) == 0 {
 		return p, g
@@ -188,12 +193,20 @@
 }
 
 func (p Leader) withEntry(key string, e entryRecord) Leader {
-	p.entries = p.entries.Set(key, e)
+	p.entries = p.entries.Set(key, &e)
 	return p
 }
 
+// entry returns the record of an entry, or an empty one if there is none.
+func (p Leader) entry(key string) (e entryRecord, known bool) {
+	if e, ok := p.entries.Get(key); ok {
+		return *e, true
+	}
+	return entryRecord{}, false
+}
+
 // withoutEntries drops the entries that match.
-func (p Leader) withoutEntries(match func(entryRecord) bool) Leader {
+func (p Leader) withoutEntries(match func(*entryRecord) bool) Leader {
 	for it := p.entries.Iterator(); !it.Done(); {
 		if key, e, _ := it.Next(); match(e) {
 			p.entries = p.entries.Delete(key)
@@ -204,7 +217,7 @@
 
 // withoutDrained drops the entries whose leases and requests have certainly ended.
 func (p Leader) withoutDrained(now notch.Time) Leader {
-	next := p.withoutEntries(func(e entryRecord) bool { return e.drainedAt != 0 && !now.Before(e.drainedAt) })
+	next := p.withoutEntries(func(e *entryRecord) bool { return e.drainedAt != 0 && !now.Before(e.drainedAt) })
 	if next.entries.Len() == p.entries.Len() {
 		return p
 	}
@@ -272,7 +285,7 @@
 	}
 	var entries []notch.EntryShare
 	for _, key := range keys {
-		e, _ := p.entries.Get(key)
+		e, _ := p.entry(key)
 		share := notch.EntryShare{Entry: key, Domain: e.domain, Demand: e.demand[pool.Name]}
 		for _, s := range servers {
 			share.Held = append(share.Held, e.maxInUse(s.Server))
@@ -295,7 +308,7 @@
 		p.unreportedFree = unreportedFree
 		p.inputVersion++
 	}
-	e, _ := p.entries.Get(key)
+	e, _ := p.entry(key)
 	g := notch.EntryGrant{
 		Term: p.leadership.Term, Base: e.applied.seq, Seq: e.applied.seq, Lease: lease, Entries: p.entries.Len(),
 		Voters: p.voters, Revision: p.tables.Revision,
@@ -337,7 +350,7 @@
 // may have in use. Unless unreportedFree is set, an entry gets no more slots than it
 // has reported.
 func (p Leader) grantableSlots(key string, unreportedFree bool) map[notch.ServerID]int {
-	e, _ := p.entries.Get(key)
+	e, _ := p.entry(key)
 	slots := map[notch.ServerID]int{}
 	limits := p.slotLimits()
 	for id, target := range p.targets[key] {
