A server that shuts down answers each request that it has read

The server now knows of each connection whether something was read since its last answer, and closes only those of which nothing was. While it drains, answers also end their connections, so that few are left.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -313,6 +313,9 @@
 func (d *Daemon) stop(ctx context.Context) error {
 	d.stopping.Store(true)
 	d.log.WithField("daemon", d.settings.Name).Info("stopping")
+	if d.callerServer != nil {
+		d.callerServer.Drain()
+	}
 	d.pause(ctx, d.drainDelay())
 	var err error
 	if d.callerServer != nil {
--- a/front/serve.go
+++ b/front/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -15,15 +16,31 @@
 const headerTimeout = 10 * time.Second
 
 // Server serves one listener.
-type Server struct{ http *http.Server }
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	conns    *conns
+	draining *atomic.Bool
+}
 
 // Serve starts to serve l in its own goroutine, until the server is closed.
 func Serve(l net.Listener, h http.Handler) Server {
-	s := Server{http: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}}
-	go func() { s.http.Serve(lastingListener{l}) }()
+	s := Server{listener: l, conns: &conns{open: map[*trackedConn]bool{}}, draining: &atomic.Bool{}}
+	s.http = &http.Server{Handler: s.endingConnections(h), ReadHeaderTimeout: headerTimeout, ConnState: s.conns.changed}
+	go func() { s.http.Serve(trackedListener{lastingListener{l}}) }()
 	return s
 }
 
+// endingConnections returns a handler that ends the connection after an answer while the server drains.
+func (s Server) endingConnections(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // lastingListener is a listener whose errors are temporary unless it is closed. The HTTP server
 // accepts again after a pause that it doubles up to a second; after any other error, such as a lack
 // of kernel memory, it would end while the process goes on.
@@ -47,8 +64,27 @@
 // Temporary implements [net.Error].
 func (temporaryError) Temporary() bool { return true }
 
+// Drain implements notch.Server.
+func (s Server) Drain() { s.draining.Store(true) }
+
+// idlePoll is how often a server that shuts down looks for idle connections.
+const idlePoll = 5 * time.Millisecond
+
 // Shutdown implements notch.Server.
-func (s Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	s.listener.Close()
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for !s.conns.closeIdle() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
 
 // Close implements notch.Server.
 func (s Server) Close() error { return s.http.Close() }
--- a/system.go
+++ b/system.go
@@ -26,6 +26,8 @@
 
 // Server serves one listener.
 type Server interface {
+	// Drain makes each connection end after its next answer, so that callers go elsewhere.
+	Drain()
 	// Shutdown accepts no new connections and waits for the requests in flight.
 	Shutdown(ctx context.Context) error
 	Close() error
