A plan waits for room for 150 starts, or for two fifths of the limit

A plan of a leader that is behind costs 2 to 3 ms before it places anything: it ranks all groups that wait and goes through all agents (BenchmarkPlanBacklog, 1,000 workflows and 1,800 agents: 3.9 ms with 500 placements, 1.2 of it for the groups and 0.9 for the agents). With a plan for each 60 starts, plans took a quarter of the loop's time in the leader's log. Starts that keep up never wait for this.

--- a/fake/starts_test.go
+++ b/fake/starts_test.go
@@ -21,7 +21,9 @@
 			l.start()
 			l.runFor(l.load.Length + l.load.Bounds.Finish)
 			for _, r := range l.load.Routes {
-				if got := worthShare(l.workflowsOf(r.Name)); got < minWorthShare {
+				got := worthShare(l.workflowsOf(r.Name))
+				t.Logf("share of the worth of %s: %.3f", r.Name, got)
+				if got < minWorthShare {
 					t.Errorf("share of the worth of %d workflows of %s: got %.2f, want at least %.2f", len(l.workflowsOf(r.Name)), r.Name, got, minWorthShare)
 				}
 			}
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -10,8 +10,8 @@
 
 // The limits of one plan. What it didn't reach, it leaves to the next one.
 const (
-	minPlacements = 60      // with room for fewer starts and for less than minRoomShare, a plan waits for answers
-	minRoomShare  = 0.3     // of the limit of starts under way
+	minPlacements = 150     // with room for fewer starts and for less than minRoomShare, a plan waits for answers
+	minRoomShare  = 0.4     // of the limit of starts under way
 	maxScores     = 100_000 // agents that are scored, once for each group
 )
 
