An order isn't sent once the leader's permission for it has run out

A report of other operators: a process that was paused acts on a permission that has run out. A leader decides on an order while a quorum has answered it within the last second, but a call could wait for a connection, or the process be paused, between that and the sending; what stood in goroutines then went out, whoever led meanwhile. Agents refuse it only if the new leader has reached them before. Each call now carries the instant until which it may be sent, and is checked right before it is written. A renewal that expired so is the leader's lateness, not the agent's silence, and the next one brings a lease.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -179,10 +179,11 @@
 	hello := notch.Hello{Daemon: self, Storage: id.Storage, Cluster: id.Cluster}
 	post := func(b notch.Body) { d.engine.Post(b) }
 	d.link = link.New([]byte(d.settings.LinkKey), hello, post, link.WithObserver(newLinkMeter(d.sink()).observe))
+	clock := newClock()
 	cfg := engine.Config{
 		Self: self, Control: controlState(d.settings, self, id.Storage, id.Cluster), Lanes: laneStates(d.settings),
-		Clock: newClock(), Seed: rand.Uint64(), Link: d.link,
-		Agents: d.adapter.Agents(d.budget.Agents), Sink: d.sink(),
+		Clock: clock, Seed: rand.Uint64(), Link: d.link,
+		Agents: d.adapter.Agents(d.budget.Agents, clock), Sink: d.sink(),
 	}
 	if d.journal != nil {
 		cfg.Journal = d.journal
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -29,7 +29,7 @@
 
 // Agents implements front.ProtocolAdapter. It returns nil, as workers of the own
 // protocol fetch their orders.
-func (ownAdapter) Agents(int) notch.Agents { return nil }
+func (ownAdapter) Agents(int, notch.Clock) notch.Agents { return nil }
 
 // system implements notch.System, through which protocol adapters use the daemon.
 type system struct {
--- a/effect.go
+++ b/effect.go
@@ -73,6 +73,7 @@
 	Agent   Agent
 	Order   AgentOrder
 	Timeout time.Duration
+	SendBy  Time // when the permission to send it ends; zero: it doesn't end
 }
 
 // AnswerAgent completes an announcement of an agent; the announced state is in
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -12,6 +12,10 @@
 // renewalAnswered handles the answer to a lease renewal.
 func (s *stepper) renewalAnswered(session agentSession, b notch.AgentAnswered) {
 	session.renewalSentAt = 0
+	if b.Answer.Reason == notch.ReasonExpired {
+		s.putSession(session.incarnation.Agent, session) // this leader was late, not the agent; the next tick renews
+		return
+	}
 	a, _ := s.agent(session.incarnation.Agent)
 	if b.Answer.Kind != notch.AgentOK && session.unanswered == 0 {
 		s.recordLoss(a)
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -64,7 +64,9 @@
 
 func (s *stepper) sendOrder(a notch.Agent, o notch.AgentOrder) {
 	s.count("agent-calls-"+string(o.Kind), 1)
-	s.out = append(s.out, notch.CallAgent{Agent: a, Order: o, Timeout: o.Wait + s.timing.AnswerTimeout})
+	s.out = append(s.out, notch.CallAgent{
+		Agent: a, Order: o, Timeout: o.Wait + s.timing.AnswerTimeout, SendBy: s.leadership.Contact.Add(s.timing.QuorumTimeout),
+	})
 }
 
 // startRun sends the start of a run that was just committed, if this leader placed it.
--- a/front/adapter.go
+++ b/front/adapter.go
@@ -16,5 +16,5 @@
 	Health(s notch.System, l net.Listener) notch.Server
 	// Agents returns the client that sends orders to agents, or nil if the protocol
 	// sends no orders. It has at most the given number of connections open.
-	Agents(connections int) notch.Agents
+	Agents(connections int, clock notch.Clock) notch.Agents
 }
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -16,6 +16,9 @@
 // ErrNotSent is the error of a call of which nothing was sent, as there was no connection in time.
 var ErrNotSent = errors.New("the call wasn't sent")
 
+// ErrExpired is the error of a call of which nothing was sent, as it was too late for it.
+var ErrExpired = errors.New("the call wasn't sent, as it was too late")
+
 // The limits of calls and connections.
 const (
 	dialTimeout      = 800 * time.Millisecond
@@ -68,10 +71,11 @@
 	Header  [2]string // name and value of one more header; empty: none
 	Body    []byte
 	Timeout time.Duration // until the whole answer has arrived
+	MaySend func() bool   // asked right before the call is sent, as the process may have been paused until then; nil: it may
 }
 
 // Post sends a call and passes the answer's status and body on to read. The body is valid until read
-// returns. The error is ErrNotSent if nothing was sent; after any other one the peer may have carried out
+// returns. The error is ErrNotSent or ErrExpired if nothing was sent; after any other one the peer may have carried out
 // the call, or may still do so.
 func (c *Client) Post(call Call, read func(status int, body []byte)) error {
 	deadline := time.Now().Add(call.Timeout)
@@ -79,6 +83,10 @@
 	if err != nil {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
+	if call.MaySend != nil && !call.MaySend() {
+		c.pool.put(conn, true)
+		return errors.WithStack(ErrExpired)
+	}
 	reusable, err := c.exchange(conn, call, deadline, read)
 	c.pool.put(conn, reusable)
 	return err
--- a/runner.go
+++ b/runner.go
@@ -31,7 +31,7 @@
 
 // Agents sends orders to agents.
 type Agents interface {
-	// Call sends an order and waits for the answer, at most for c.Timeout.
+	// Call sends an order and waits for the answer, at most for c.Timeout. From c.SendBy on it sends nothing.
 	Call(c CallAgent) AgentAnswer
 	Close() error
 }
