--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -37,7 +37,7 @@
 	BatchEntries    int // maximum number of entries in one message
 	BatchBytes      int // a message with entries of this estimated size gets no further entry
 	FlushLag        int // a flush sends nothing to a replica with more unsent entries than this
-	SnapshotEntries int // least number of entries applied between two snapshots
+	SnapshotEntries int // number of entries applied between two snapshots
 	RetainedEntries int // entries kept before the snapshot, for followers that lag slightly
 	LearnerLag      int // a learner that lacks at most this many entries may become a voter
 }
@@ -74,7 +74,6 @@
 	hardState      notch.HardState
 	log            log
 	snapshot       *notch.Snapshot
-	snapshotItems  int        // of snapshot
 	configs        []configAt // in ascending order; the last one is in force
 	persistedIndex uint64     // last entry synced on this replica
 	lastWrite      uint64     // number of the last write that the journal was given
@@ -375,7 +374,7 @@
 		s.appliedIndex++
 		s.emit(notch.Committed{Entry: s.log.entryAt(s.appliedIndex)})
 	}
-	if s.snapshotIndex()+s.snapshotInterval() <= s.appliedIndex {
+	if s.snapshotIndex()+uint64(s.limits.SnapshotEntries) <= s.appliedIndex {
 		s.emitSnapshotDue()
 	}
 }
--- a/consensus/snapshots.go
+++ b/consensus/snapshots.go
@@ -7,22 +7,13 @@
 func (s *stepper) restoreSnapshot(snap notch.Snapshot) {
 	s.persistedIndex = min(s.persistedIndex, s.commitIndex)
 	s.validWrite = s.lastWrite + 1
-	s.setSnapshot(snap)
+	s.snapshot = &snap
 	s.log = newLogAt(snap.Index, snap.Term)
 	s.configs = []configAt{{index: snap.Index, set: snap.Replicas}}
 	s.commitIndex, s.appliedIndex = snap.Index, snap.Index
 	s.emit(notch.Restored{Snapshot: snap})
 }
 
-// itemsPerEntry is how many items of a snapshot an entry of the log pays for. A snapshot takes time for each of
-// its items, so a large state is saved less often.
-const itemsPerEntry = 4
-
-// snapshotInterval returns the number of entries between two snapshots.
-func (s *stepper) snapshotInterval() uint64 {
-	return uint64(max(s.limits.SnapshotEntries, s.snapshotItems/itemsPerEntry))
-}
-
 // emitSnapshotDue requests a snapshot of what is applied.
 func (s *stepper) emitSnapshotDue() {
 	s.emit(notch.SnapshotDue{Index: s.appliedIndex, Term: s.log.term(s.appliedIndex), Replicas: s.replicaSetAt(s.appliedIndex)})
@@ -35,12 +26,8 @@
 	return s.snapshot.Index
 }
 
-func (s *stepper) setSnapshot(snap notch.Snapshot) {
-	s.snapshot, s.snapshotItems = &snap, notch.SnapshotItems(snap)
-}
-
 func (s *stepper) saveSnapshot(snap notch.Snapshot) {
-	s.setSnapshot(snap)
+	s.snapshot = &snap
 	s.effects = append(s.effects, notch.SaveSnapshot{Snapshot: snap, KeepFrom: s.keepFrom(snap.Index)})
 	if s.role == roleLeader {
 		s.sendSnapshots()
--- a/size.go
+++ b/size.go
@@ -30,27 +30,3 @@
 	}
 	return size
 }
-
-// SnapshotItems counts what a snapshot has most of: workflows with their tasks, agents, and what the other parts
-// have a record of.
-func SnapshotItems(s Snapshot) int {
-	n := 0
-	for _, part := range s.Images {
-		switch part := part.(type) {
-		case WorkflowsSnapshot:
-			n += len(part.Flows) + len(part.Agents)
-			for _, w := range part.Flows {
-				for _, row := range w.Tasks {
-					n += len(row)
-				}
-			}
-		case BatchSnapshot:
-			n += len(part.Jobs) + len(part.Tasks) + len(part.Workers) + len(part.Times)
-		case ClaimsSnapshot:
-			n += len(part.Claims)
-		case TablesSnapshot:
-			n += len(part.Tables.Routes) + len(part.Tables.Pools) + len(part.Edits)
-		}
-	}
-	return n
-}
