--- a/graph/graph.go
+++ b/graph/graph.go
@@ -14,8 +14,8 @@
 // Workflow is a workflow with its tasks and with counts derived from them. Values are shared
 // and must not be modified.
 type Workflow struct {
-	Flow          notch.Workflow
-	At            notch.Time // when it was accepted, by the clock of the leader that proposed it
+	Flow          *notch.Workflow // never modified
+	At            notch.Time      // when it was accepted, by the clock of the leader that proposed it
 	Ended         notch.Time
 	State         notch.WorkflowState
 	Reason        string                  // why it failed, unless runs of a task did
@@ -28,7 +28,7 @@
 
 // New returns a workflow that was accepted at the given time and has no runs yet.
 func New(f notch.Workflow, at notch.Time) *Workflow {
-	w := &Workflow{Flow: f, At: at, State: notch.WorkflowQueued, criticalPaths: criticalPaths(f.Stages)}
+	w := &Workflow{Flow: &f, At: at, State: notch.WorkflowQueued, criticalPaths: criticalPaths(f.Stages)}
 	var round []*group // the rounds share them until their tasks change
 	for _, st := range f.Stages {
 		round = append(round, newGroup(st.Count, at))
@@ -47,7 +47,7 @@
 
 // Restore returns the workflow of a record.
 func Restore(r notch.WorkflowRecord) *Workflow {
-	w := &Workflow{Flow: r.Flow, At: r.At, Ended: r.Ended, State: r.State, Reason: r.Reason, criticalPaths: criticalPaths(r.Flow.Stages)}
+	w := &Workflow{Flow: &r.Flow, At: r.At, Ended: r.Ended, State: r.State, Reason: r.Reason, criticalPaths: criticalPaths(r.Flow.Stages)}
 	groups := immutable.NewListBuilder[*group]()
 	for _, row := range r.Tasks {
 		g := restoreGroup(row)
@@ -64,7 +64,7 @@
 
 // Record returns the part of the workflow that snapshots contain.
 func (w *Workflow) Record() notch.WorkflowRecord {
-	out := notch.WorkflowRecord{Flow: w.Flow, At: w.At, Ended: w.Ended, State: w.State, Reason: w.Reason}
+	out := notch.WorkflowRecord{Flow: *w.Flow, At: w.At, Ended: w.Ended, State: w.State, Reason: w.Reason}
 	for it := w.groups.Iterator(); !it.Done(); {
 		_, g := it.Next()
 		out.Tasks = append(out.Tasks, g.row())
@@ -174,7 +174,7 @@
 func (w *Workflow) dropUnneeded() *Workflow {
 	if w.State.Ended() && w.liveRuns == 0 {
 		w.groups, w.unfinished, w.waiting, w.criticalPaths = immutable.NewList[*group](), 0, 0, nil
-		w.Flow = notch.Workflow{ID: w.Flow.ID, Route: w.Flow.Route, Pool: w.Flow.Pool, Terms: w.Flow.Terms}
+		w.Flow = &notch.Workflow{ID: w.Flow.ID, Route: w.Flow.Route, Pool: w.Flow.Pool, Terms: w.Flow.Terms}
 	}
 	return w
 }
