The objective of a workflow follows what its tasks really took

The order of tasks took workflows for late by their declared run times alone: with a task that took seven times as long as declared, the stages after it ranked as late, and behind everything fresh under overload, although the users' objective is a multiple of the real work. The longest run of a stage that took at least twice what was declared now counts in the critical path; the leader learns it from the log, a restored replica starts from what was declared.

TestCriticalPathFollowsRunTimes is new.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -267,6 +267,9 @@
 	if e.Suspicion == notch.SuspicionRaised {
 		s.indexSuspect(r.Life, e.Run.Task)
 	}
+	if e.Kind == notch.RunDone {
+		w = w.WithRunTime(e.Run.Task.Stage, at.Sub(r.Since))
+	}
 	next := s.withJudgedTask(w, e.Run.Task, t, at)
 	s.putWorkflow(next)
 	s.count("runs-"+string(e.Kind), 1)
--- a/graph/graph.go
+++ b/graph/graph.go
@@ -24,11 +24,12 @@
 	waiting       int                     // number of open tasks without a run
 	liveRuns      int                     // number of runs that aren't known to have ended
 	criticalPaths []time.Duration         // by stage
+	runTimes      []time.Duration         // by stage, of its longest run where that was longer than declared; nil: none was; not in records
 }
 
 // New returns a workflow that was accepted at the given time and has no runs yet.
 func New(f notch.Workflow, at notch.Time) *Workflow {
-	w := &Workflow{Flow: &f, At: at, State: notch.WorkflowQueued, criticalPaths: criticalPaths(f.Stages)}
+	w := &Workflow{Flow: &f, At: at, State: notch.WorkflowQueued, criticalPaths: criticalPaths(f.Stages, nil)}
 	var round []*group // the rounds share them until their tasks change
 	for _, st := range f.Stages {
 		round = append(round, newGroup(st.Count, at))
@@ -47,7 +48,7 @@
 
 // Restore returns the workflow of a record.
 func Restore(r notch.WorkflowRecord) *Workflow {
-	w := &Workflow{Flow: &r.Flow, At: r.At, Ended: r.Ended, State: r.State, Reason: r.Reason, criticalPaths: criticalPaths(r.Flow.Stages)}
+	w := &Workflow{Flow: &r.Flow, At: r.At, Ended: r.Ended, State: r.State, Reason: r.Reason, criticalPaths: criticalPaths(r.Flow.Stages, nil)}
 	groups := immutable.NewListBuilder[*group]()
 	for _, row := range r.Tasks {
 		g := restoreGroup(row)
@@ -173,7 +174,7 @@
 // runs left. It modifies w, which must be a copy that isn't shared yet.
 func (w *Workflow) dropUnneeded() *Workflow {
 	if w.State.Ended() && w.liveRuns == 0 {
-		w.groups, w.unfinished, w.waiting, w.criticalPaths = immutable.NewList[*group](), 0, 0, nil
+		w.groups, w.unfinished, w.waiting, w.criticalPaths, w.runTimes = immutable.NewList[*group](), 0, 0, nil, nil
 		w.Flow = &notch.Workflow{ID: w.Flow.ID, Route: w.Flow.Route, Pool: w.Flow.Pool, Terms: w.Flow.Terms}
 	}
 	return w
@@ -231,17 +232,40 @@
 	}
 }
 
-// CriticalPath returns the declared run time of the longest chain of dependent stages that starts
+// longerThanDeclared is the multiple of its declared run time from which on a run counts as longer. What a busy
+// leader adds to a short run makes no difference.
+const longerThanDeclared = 2
+
+// WithRunTime returns the workflow after a run of a stage that took d from its placement to its end. Declared
+// run times may be far from the real ones, and a workflow's objective follows the real ones.
+func (w *Workflow) WithRunTime(stage int, d time.Duration) *Workflow {
+	if st := w.Flow.Stages[stage]; st.Lasts || d < longerThanDeclared*st.Estimate || w.runTimes != nil && d <= w.runTimes[stage] {
+		return w
+	}
+	next := *w
+	next.runTimes = make([]time.Duration, len(w.Flow.Stages))
+	copy(next.runTimes, w.runTimes)
+	next.runTimes[stage] = d
+	next.criticalPaths = criticalPaths(w.Flow.Stages, next.runTimes)
+	return &next
+}
+
+// CriticalPath returns the run time, as declared or longer, of the longest chain of dependent stages that starts
 // with the stage of a group.
 func (w *Workflow) CriticalPath(group int) time.Duration {
 	return w.criticalPaths[group%len(w.criticalPaths)]
 }
 
-// criticalPaths returns the critical path from each stage on.
-func criticalPaths(stages []notch.Stage) []time.Duration {
+// criticalPaths returns the critical path from each stage on. RunTimes, if there are any, are at least what the
+// stages take.
+func criticalPaths(stages []notch.Stage, runTimes []time.Duration) []time.Duration {
 	longest := make([]time.Duration, len(stages))
 	for i, st := range slices.Backward(stages) {
-		longest[i] += st.Estimate
+		took := st.Estimate
+		if runTimes != nil {
+			took = max(took, runTimes[i])
+		}
+		longest[i] += took
 		for _, a := range st.After {
 			longest[a] = max(longest[a], longest[i])
 		}
--- a/graph/graph_test.go
+++ b/graph/graph_test.go
@@ -115,3 +115,36 @@
 	fmt.Println(w.CriticalPath(0), w.CriticalPath(1), w.CriticalPath(2))
 	// Output: 4s 3s 2s
 }
+
+// TestCriticalPathFollowsRunTimes guards against workflows that are taken for late, and wait behind others, because
+// their tasks take longer than declared: their objective is longer as well.
+func TestCriticalPathFollowsRunTimes(t *testing.T) {
+	stages := []notch.Stage{
+		{Count: 2, Estimate: time.Second}, {Count: 1, Estimate: 2 * time.Second, After: []int{0}}, {Count: 1, Estimate: 3 * time.Second, Lasts: true},
+	}
+	w := New(notch.Workflow{ID: "f", Stages: stages}, 1)
+	for _, c := range []struct {
+		stage int
+		took  time.Duration
+		want  []time.Duration // critical paths by stage
+	}{
+		{0, time.Second / 2, []time.Duration{3 * time.Second, 2 * time.Second, 3 * time.Second}},
+		{0, 10 * time.Second, []time.Duration{12 * time.Second, 2 * time.Second, 3 * time.Second}},
+		{0, 4 * time.Second, []time.Duration{12 * time.Second, 2 * time.Second, 3 * time.Second}},
+		{1, 3 * time.Second, []time.Duration{12 * time.Second, 2 * time.Second, 3 * time.Second}},
+		{1, 5 * time.Second, []time.Duration{15 * time.Second, 5 * time.Second, 3 * time.Second}},
+		{2, time.Hour, []time.Duration{15 * time.Second, 5 * time.Second, 3 * time.Second}},
+	} {
+		before := w.CriticalPath(0)
+		next := w.WithRunTime(c.stage, c.took)
+		for stage, want := range c.want {
+			if got := next.CriticalPath(stage); got != want {
+				t.Errorf("stage %d took %v: critical path from stage %d: got %v, want %v", c.stage, c.took, stage, got, want)
+			}
+		}
+		if got := w.CriticalPath(0); got != before {
+			t.Errorf("the workflow before has changed: got %v, want %v", got, before)
+		}
+		w = next
+	}
+}
