An agent that restarted gets no runs until it has announced what it is now

It is now known but unannounced, and takes no runs until the announcement, also if that says the same.

--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -35,7 +35,8 @@
 // sameAgent compares two agents by all fields but the id, the start time and the labels.
 func sameAgent(a, b notch.Agent) bool {
 	return a.Pool == b.Pool && a.Address == b.Address && a.Host == b.Host && a.Domain == b.Domain &&
-		a.Rack == b.Rack && a.Size == b.Size && a.Draining == b.Draining && a.Left == b.Left
+		a.Rack == b.Rack && a.Size == b.Size && a.Draining == b.Draining && a.Left == b.Left &&
+		a.Unannounced == b.Unannounced
 }
 
 // formerLeaderMargin is added to the longest lease before the leases of a former leader count
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -31,7 +31,7 @@
 		session.nextRenewalAt = s.now.Add(s.timing.RetryInterval * time.Duration(min(session.unanswered, maxBackoff)))
 	case b.Answer.Born != 0 && b.Answer.Born > session.incarnation.Born:
 		session.succeeded, session.nextRenewalAt = true, s.now.Add(s.timing.RetryInterval)
-		a.Born, a.Draining, a.Left = b.Answer.Born, false, false
+		a.Born, a.Draining, a.Left, a.Unannounced = b.Answer.Born, false, false, true
 		s.propose(notch.AdmitAgent{Agent: a})
 	default:
 		s.processLists(session, a, b)
--- a/flow/views.go
+++ b/flow/views.go
@@ -136,7 +136,7 @@
 
 // acceptsRuns reports whether new runs may be placed on an agent.
 func (s *stepper) acceptsRuns(pool notch.Pool, a *notch.Agent, session *agentSession) bool {
-	if a.Draining || a.Left || session.incarnation != a.Incarnation() || pool.IsLeaving(a.ID, a.Host) {
+	if a.Draining || a.Left || a.Unannounced || session.incarnation != a.Incarnation() || pool.IsLeaving(a.ID, a.Host) {
 		return false
 	}
 	return session.lastAnsweredAt != 0 && session.unanswered == 0 && !session.succeeded && !session.hasStrays && !s.now.Before(session.noRunsBefore) && s.now.Sub(session.lastAnsweredAt) < s.timing.MaxSilence
--- a/workflow.go
+++ b/workflow.go
@@ -92,6 +92,10 @@
 	Size     Resources
 	Draining bool // accepts no new runs
 	Left     bool // has sent its leave message
+
+	// Unannounced is true for an incarnation that is known by an answer to an order only. Its size and labels are
+	// those of the incarnation before, and it gets no runs until it announces its own.
+	Unannounced bool `cbor:",omitempty"`
 }
 
 // Incarnation returns the identity of the agent's incarnation.
