--- a/flow/plan_test.go
+++ b/flow/plan_test.go
@@ -73,6 +73,24 @@
 	return nil
 }
 
+// planAfter makes a plan after some time, whether the state has changed or not, and returns its
+// placements.
+func (s *testLeader) planAfter(d time.Duration) []notch.RunPlacement {
+	s.advance(d)
+	part, _ := s.state.Parts()[0].Step(notch.Event{At: s.now, Seed: s.index, Body: notch.Tick{}})
+	s.state = notch.NewState(part)
+	next, effects := part.Step(notch.Event{At: s.now, Seed: s.index, Body: notch.Flush{}})
+	if next != nil {
+		s.state = notch.NewState(next)
+	}
+	for _, f := range effects {
+		if c, ok := proposedCommand(f).(notch.PlaceRuns); ok {
+			return c.Placements
+		}
+	}
+	return nil
+}
+
 // TestPlanScoresAgentsOncePerGroup guards against plans whose cost grows with tasks times agents.
 func TestPlanScoresAgentsOncePerGroup(t *testing.T) {
 	const agents, tasks = 40, 200
--- a/flow/planmemory_test.go
+++ b/flow/planmemory_test.go
@@ -41,24 +41,6 @@
 	})
 }
 
-// planAfter makes a plan after some time, whether the state has changed or not, and returns its
-// placements.
-func (s *testLeader) planAfter(d time.Duration) []notch.RunPlacement {
-	s.advance(d)
-	part, _ := s.state.Parts()[0].Step(notch.Event{At: s.now, Seed: s.index, Body: notch.Tick{}})
-	s.state = notch.NewState(part)
-	next, effects := part.Step(notch.Event{At: s.now, Seed: s.index, Body: notch.Flush{}})
-	if next != nil {
-		s.state = notch.NewState(next)
-	}
-	for _, f := range effects {
-		if c, ok := proposedCommand(f).(notch.PlaceRuns); ok {
-			return c.Placements
-		}
-	}
-	return nil
-}
-
 // proposedCommand returns the command that an effect proposes, or nil.
 func proposedCommand(f notch.Effect) notch.Command {
 	emit, _ := f.(notch.Emit)
