Random tests of orders that wait at a silent host or are late, by kind

Change: TestRandomWorkflowsReborn plays cases of a data file, new ones among them: hosts dark for up to 4 s, longer than an order's timeout, and late orders of one kind at a time. Decisions are unchanged.

The reader of YAML files stood three times and stands once.

--- a/fake/agent.go
+++ b/fake/agent.go
@@ -17,6 +17,7 @@
 	Dark        bool                                  // its host goes dark when it ends: open calls to it time out instead of breaking off, and orders wait for its next incarnation
 	Deaf        bool                                  // no orders reach it; what it announces arrives
 	LateShare   float64                               // fraction of the orders that get no answer and are carried out late
+	LateKind    notch.AgentOrderKind                  // the only kind of orders that are late; empty: each kind
 	Broken      bool                                  // every run fails
 	Fails       func(ref notch.RunRef) bool           // whether a run fails; nil: only those of a broken agent do
 	Unguarded   bool                                  // it starts whatever it is ordered to, also beyond its size
--- a/fake/agentcall.go
+++ b/fake/agentcall.go
@@ -48,7 +48,7 @@
 		a.closeCall(call)
 		reply(ans)
 	}
-	if s.Rand.Float64() < a.LateShare {
+	if a.mayDelay(f.Order) && s.Rand.Float64() < a.LateShare {
 		delay = minOrderDelay + time.Duration(s.Rand.Float64()*float64(maxOrderDelay-minOrderDelay))
 		replyAndClose = func(notch.AgentAnswer) {}
 	}
@@ -77,6 +77,9 @@
 	s.After(agentNetworkDelay, receive)
 }
 
+// mayDelay reports whether the agent may carry out an order late.
+func (a *Agent) mayDelay(o notch.AgentOrder) bool { return a.LateKind == "" || a.LateKind == o.Kind }
+
 // receiveHeldOrders delivers the orders that arrived while the agent's host was dark.
 func (a *Agent) receiveHeldOrders() {
 	held := a.heldOrders
--- a/fake/agentload_test.go
+++ b/fake/agentload_test.go
@@ -76,18 +76,23 @@
 }
 
 func readAgentLoad(t testing.TB, path string) agentLoad {
+	var load agentLoad
+	readYAML(t, path, &load)
+	return load
+}
+
+// readYAML decodes a file into a value that v points to.
+func readYAML(t testing.TB, path string, v any) {
 	f, err := os.Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.Close()
-	var load agentLoad
 	d := yaml.NewDecoder(f)
 	d.KnownFields(true)
-	if err := d.Decode(&load); err != nil {
+	if err := d.Decode(v); err != nil {
 		t.Fatal(err)
 	}
-	return load
 }
 
 // loadTest runs an agentLoad on a testbed whose daemons have limited processors.
--- a/fake/curve_test.go
+++ b/fake/curve_test.go
@@ -3,11 +3,8 @@
 import (
 	"cmp"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
-
-	"gopkg.in/yaml.v3"
 )
 
 // startsCurve is a table of loads and of the share of a core that the leader has.
@@ -27,17 +24,8 @@
 }
 
 func readStartsCurve(t testing.TB) startsCurve {
-	f, err := os.Open("testdata/starts-curve.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
 	var curve startsCurve
-	d := yaml.NewDecoder(f)
-	d.KnownFields(true)
-	if err := d.Decode(&curve); err != nil {
-		t.Fatal(err)
-	}
+	readYAML(t, "testdata/starts-curve.yaml", &curve)
 	return curve
 }
 
--- a/fake/days_test.go
+++ b/fake/days_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -82,14 +81,8 @@
 }
 
 func readStartDays(t testing.TB) startDays {
-	data, err := os.ReadFile("testdata/starts-days.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var days startDays
-	if err := yaml.Unmarshal(data, &days); err != nil {
-		t.Fatal(err)
-	}
+	readYAML(t, "testdata/starts-days.yaml", &days)
 	return days
 }
 
--- a/fake/reborn_test.go
+++ b/fake/reborn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,13 +14,23 @@
 // them, and are cut off soon after.
 type rebornTest struct {
 	*workflowTest
+	rebornCase
+}
+
+// rebornCase describes what delays the orders to the agents of a rebornTest.
+type rebornCase struct {
+	Name       string               // in testdata/reborn.yaml
+	MaxRestart time.Duration        `yaml:"max-restart"` // from a crash to the next incarnation
+	LateShare  float64              `yaml:"late-share"`  // of the orders that are carried out late
+	LateKind   notch.AgentOrderKind `yaml:"late-kind"`   // the only kind of orders that are late; empty: each kind
+	Seeds      []uint64             // on which a rule was broken
+	Share      int                  // of the seeds of a test, one in so many is played
 }
 
 const (
 	rebornAgents       = 12
 	rebornDisruptions  = 3
 	maxDisruptedAgents = 5                       // so that most of the pool stays
-	maxRestartTime     = 900 * time.Millisecond  // from a crash to the next incarnation
 	maxFirstReport     = 1200 * time.Millisecond // from the start of an agent to its first announcement
 	minTimeToCut       = 100 * time.Millisecond  // from the restart of an agent to the cut
 	maxTimeToCut       = 2 * time.Second
@@ -34,15 +45,15 @@
 	rebornCalm         = 90 * time.Second // at the end, in which every workflow ends
 )
 
-func newRebornTest(t *testing.T, seed uint64, lateShare float64) *rebornTest {
-	r := &rebornTest{newWorkflowTest(t, seed)}
+func newRebornTest(t *testing.T, seed uint64, c rebornCase) *rebornTest {
+	r := &rebornTest{newWorkflowTest(t, seed), c}
 	for len(r.agents) < rebornAgents {
 		r.agents = append(r.agents, r.addAgent(len(r.agents)))
 	}
 	for _, a := range r.agents {
 		a.RunTime = r.runTime
 		a.Fails = func(ref notch.RunRef) bool { return ref.Task.Index%4 == 3 && r.Rand.IntN(2) == 0 }
-		a.LateShare = lateShare
+		a.LateShare, a.LateKind = c.LateShare, c.LateKind
 	}
 	return r
 }
@@ -81,17 +92,17 @@
 	if r.Rand.IntN(2) == 0 {
 		r.After(r.between(0, maxTimeToKill), r.killLeader)
 	}
-	return maxRestartTime + toCut + maxOneWayCut + cut
+	return r.MaxRestart + toCut + maxOneWayCut + cut
 }
 
-// restartAndCut crashes an agent, which comes back within a second, and cuts it off for a while. Then it runs on.
+// restartAndCut crashes an agent, which comes back soon, and cuts it off for a while. Then it runs on.
 func (r *rebornTest) restartAndCut(a *Agent, toCut, cut time.Duration) {
 	a.Dark = r.Rand.IntN(2) == 0
 	a.ClockStart = r.nextClock(a)
 	a.FirstReport = r.between(0, maxFirstReport)
 	r.logEvent(a, "crashes, dark=%v", a.Dark)
 	r.KillAgent(a)
-	restart, oneWay, fails := r.between(0, maxRestartTime), r.between(0, maxOneWayCut), r.Rand.IntN(3) == 0
+	restart, oneWay, fails := r.between(0, r.MaxRestart), r.between(0, maxOneWayCut), r.Rand.IntN(3) == 0
 	r.After(restart, func() {
 		r.StartAgent(a)
 		r.logEvent(a, "starts with clock %v, announces itself %v later", a.ClockStart, a.FirstReport)
@@ -202,14 +213,49 @@
 	return false
 }
 
-// testReborn plays a number of seeds.
-func testReborn(t *testing.T, count int, lateShare float64) {
-	playSeeds(t, count, func(t *testing.T, seed uint64) { newRebornTest(t, seed, lateShare).run(t) })
+// readRebornCase returns a case of testdata/reborn.yaml.
+func readRebornCase(t *testing.T, name string) rebornCase {
+	var cases []rebornCase
+	readYAML(t, "testdata/reborn.yaml", &cases)
+	i := slices.IndexFunc(cases, func(c rebornCase) bool { return c.Name == name })
+	if i < 0 {
+		t.Fatalf("testdata/reborn.yaml has no case %q", name)
+	}
+	return cases[i]
+}
+
+// testReborn plays a case with a number of seeds, and with those on which a rule was broken.
+func testReborn(t *testing.T, name string) {
+	c := readRebornCase(t, name)
+	play := func(t *testing.T, seed uint64) { newRebornTest(t, seed, c).run(t) }
+	playSeeds(t, *seeds/c.Share, play)
+	for _, seed := range c.Seeds {
+		t.Run(fmt.Sprint("broken before ", seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed)
+		})
+	}
 }
 
 // TestRandomWorkflowsReborn guards against tasks that run twice or too often after agents came back under their
 // old ids and were cut off (docs/incidents/reborn-agents.md).
-func TestRandomWorkflowsReborn(t *testing.T) { testReborn(t, *seeds/3, 0) }
+func TestRandomWorkflowsReborn(t *testing.T) { testReborn(t, "soon") }
 
 // TestRandomWorkflowsRebornLate is TestRandomWorkflowsReborn with orders that agents carry out late.
-func TestRandomWorkflowsRebornLate(t *testing.T) { testReborn(t, *seeds/8, 0.1) }
+func TestRandomWorkflowsRebornLate(t *testing.T) { testReborn(t, "late") }
+
+// TestRandomWorkflowsRebornDark guards against tasks that run twice because a start waits at a silent host for
+// longer than the leader waits for its answer, and the next incarnation of the agent carries it out.
+func TestRandomWorkflowsRebornDark(t *testing.T) { testReborn(t, "dark") }
+
+// TestRandomWorkflowsRebornLateRenewals guards against tasks that run twice because a renewal that is late grants a
+// lease to the next incarnation of an agent, or forgets ends of it that nobody has read.
+func TestRandomWorkflowsRebornLateRenewals(t *testing.T) { testReborn(t, "late-renewals") }
+
+// TestRandomWorkflowsRebornLateStarts guards against tasks that run again because a start that is late is carried
+// out by the next incarnation of an agent, after a repeated one was.
+func TestRandomWorkflowsRebornLateStarts(t *testing.T) { testReborn(t, "late-starts") }
+
+// TestRandomWorkflowsRebornLateStops guards against tasks that run twice because a stop that is late was taken for
+// one of the next incarnation of an agent.
+func TestRandomWorkflowsRebornLateStops(t *testing.T) { testReborn(t, "late-stops") }
