Log what a run is given up on

The messages "gives up the runs of an agent" and "run given up: its agent doesn't list it" don't say whether an incarnation had listed the run, what became of its start, and when the last order was sent that may extend a lease or forget ends, so they can't tell the hypotheses of docs/incidents/held-orders.md apart.

Change: both messages say that; the leader records the last acknowledgement that has no answer. No decision changes.

--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -65,7 +65,7 @@
 		}
 		s.putSession(a.ID, s.renewed(agentSession{
 			incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: s.formerLease(*a, formerLeasesEnd),
-			grantedAt: s.now, staleOrdersUntil: l.Ready.Add(maxOrderDelay), // the agent may have restarted just before
+			grantedAt: s.now, unansweredAckAt: s.now, staleOrdersUntil: l.Ready.Add(maxOrderDelay), // the agent may have restarted just before
 		}))
 	}
 	s.needsPlan = true
@@ -137,6 +137,6 @@
 	}
 	s.putSession(a.ID, s.renewed(agentSession{
 		incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: l, staleOrdersUntil: s.now.Add(maxOrderDelay),
-		predecessorAnsweredAt: before.lastAnsweredAt,
+		predecessorAnsweredAt: before.lastAnsweredAt, unansweredAckAt: max(before.unansweredAckAt, before.ackSentAt),
 	}))
 }
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -12,7 +12,7 @@
 
 // renewalAnswered handles the answer to a lease renewal.
 func (s *stepper) renewalAnswered(session agentSession, b notch.AgentAnswered) {
-	session.renewalSentAt = 0
+	session = session.withRenewalAnswered(b)
 	if b.Answer.Reason == notch.ReasonExpired {
 		s.putSession(session.incarnation.Agent, session) // this leader was late, not the agent; the next tick renews
 		return
@@ -242,7 +242,7 @@
 			end.Suspicion = s.suspicionAfter(session, run, commonCause)
 		}
 		out = append(out, end)
-		s.logMessage("run given up: its agent doesn't list it", runFields(ref, a.ID, string(kind))...)
+		s.logMessage("run given up: its agent doesn't list it", append(runFields(ref, a.ID, string(kind)), s.proofFields(session, ref)...)...)
 	}
 	return out, undecided
 }
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -44,6 +44,9 @@
 	}
 	session = s.granted(session, o.Deadline)
 	session.renewalSentAt = s.now
+	if o.Ack != 0 {
+		session.ackSentAt = s.now
+	}
 	s.sendOrder(a, o)
 	return session
 }
--- a/flow/session.go
+++ b/flow/session.go
@@ -31,6 +31,8 @@
 	endsProposedAt        notch.Time // when the ends of abandoned runs were last proposed
 	staleOrdersUntil      notch.Time // until then, orders to an earlier incarnation may take effect in this one
 	grantedAt             notch.Time // when the last order was sent that grants a lease; by former leaders: when this one was elected
+	ackSentAt             notch.Time // when the renewal under way was sent, if it acknowledges ends; zero: it doesn't
+	unansweredAckAt       notch.Time // when the last acknowledgement was sent that this or an earlier incarnation left unanswered; by former leaders: when this one was elected; zero: none
 	heardAt               notch.Time // when the agent last answered an order, whichever incarnation of it did
 }
 
@@ -57,6 +59,17 @@
 	s.sessions = s.sessions.Set(agent, &session)
 }
 
+// withRenewalAnswered returns a session after the answer to the renewal under way. Its acknowledgement may still take
+// effect in a later incarnation, unless this one has carried it out or it wasn't sent.
+func (a agentSession) withRenewalAnswered(b notch.AgentAnswered) agentSession {
+	unsent := b.Answer.Kind == notch.AgentBusy || b.Answer.Reason == notch.ReasonExpired
+	if !unsent && !listsOf(a.incarnation, b) {
+		a.unansweredAckAt = max(a.unansweredAckAt, a.ackSentAt)
+	}
+	a.renewalSentAt, a.ackSentAt = 0, 0
+	return a
+}
+
 // agentClock is a reading of the clock of one incarnation of an agent.
 type agentClock struct {
 	incarnation notch.AgentIncarnation
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -56,7 +56,9 @@
 	s.putSession(id, session)
 	a, _ := s.agent(id)
 	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(notch.RunLeaseExpired)),
-		notch.IntField("runs", len(abandoned)), notch.TextField("left", strconv.FormatBool(a.Left)))
+		notch.IntField("runs", len(abandoned)), notch.IntField("not-listed", s.countUnlisted(abandoned)),
+		notch.TextField("last-grant", s.age(session.grantedAt)), notch.TextField("last-heard", s.age(session.heardAt)),
+		notch.TextField("left", strconv.FormatBool(a.Left)))
 	slices.SortFunc(abandoned, func(a, b agentRun) int { return compareRunRefs(a.ref, b.ref) })
 	commonCause := sync.OnceValue(func() bool { return s.commonCause(a) })
 	var ends []notch.RunEnd
