An order whose call has ended may take effect for as long as any late one

Cause: the end of a call was taken for the end of its order. A start without an answer, to an agent that wasn't heard since, counted as not received, and one that was confirmed was waited for by the longest lease from the last order that was answered in time. But a silent host delivers what it holds to the next incarnation, and the renewal that was under way is carried out late as well, and grants that one a lease (forms A and B of docs/incidents/held-orders.md). A new leader waited for the longest lease only, too.

Change: a run that its incarnation hasn't listed may be live until the longest lease from a late order has ended, whatever became of the calls. That is counted from the last order to any incarnation that grants a lease. An answer whose clock is that of the known incarnation proves as much as a list, so that a confirmed start doesn't wait: a later incarnation's clock starts anew. The wait follows the setting for the longest lease.

--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -65,7 +65,7 @@
 		}
 		s.putSession(a.ID, s.renewed(agentSession{
 			incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: s.formerLease(*a, formerLeasesEnd),
-			grantedAt: s.now, unansweredAckAt: s.now, staleOrdersUntil: l.Ready.Add(maxOrderDelay), // the agent may have restarted just before
+			grantedAt: s.now, unansweredAckAt: s.now,
 		}))
 	}
 	s.needsPlan = true
@@ -136,7 +136,7 @@
 		s.recordLoss(a)
 	}
 	s.putSession(a.ID, s.renewed(agentSession{
-		incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: l, staleOrdersUntil: s.now.Add(maxOrderDelay),
+		incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: l, grantedAt: before.grantedAt,
 		predecessorAnsweredAt: before.lastAnsweredAt, unansweredAckAt: max(before.unansweredAckAt, before.ackSentAt),
 	}))
 }
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -196,7 +196,7 @@
 	}
 	orders, _ := s.runOrders.Get(ref)
 	orders.startOutcome, orders.startAnsweredAt = b.Answer.Kind, s.now
-	orders.startBroken, orders.startMalformed = b.Answer.Reason == notch.ReasonBroken, b.Answer.Reason == notch.ReasonMalformed
+	orders.confirmedHere = orders.confirmedHere || s.confirmsHere(b)
 	if b.Answer.Kind == notch.AgentOK && orders.atWorkSince == 0 {
 		orders.atWorkSince = s.now
 	}
@@ -219,6 +219,13 @@
 	s.propose(notch.EndRuns{Life: b.Life, Ends: []notch.RunEnd{{Run: ref, Kind: notch.RunNotStarted}}})
 }
 
+// confirmsHere reports whether an answer confirms an order and comes from the incarnation that the order was sent to:
+// the clock of a later one starts anew.
+func (s *stepper) confirmsHere(b notch.AgentAnswered) bool {
+	session, ok := s.session(b.Life.Agent)
+	return ok && session.incarnation == b.Life && b.Answer.Kind == notch.AgentOK && session.lease.ClockMatches(b.Answer.Clock, s.receivedAt(b))
+}
+
 // pauseAfterRefusal is how long an agent that refused a start gets no new runs.
 const pauseAfterRefusal = time.Second
 
--- a/flow/repeat.go
+++ b/flow/repeat.go
@@ -64,5 +64,5 @@
 
 // hasLateCopy reports whether a copy of the start of a run may still be carried out, although another one was.
 func (s *stepper) hasLateCopy(orders runOrders) bool {
-	return orders.repeats > 0 && s.now.Before(orders.repeatedAt.Add(maxOrderDelay))
+	return orders.repeats > 0 && s.now.Before(orders.repeatedAt.Add(maxOrderLateness+s.timing.MaxLease))
 }
--- a/flow/session.go
+++ b/flow/session.go
@@ -29,8 +29,7 @@
 	forgottenUpTo         uint64     // the agent has answered an acknowledgement of the ends up to this position
 	noRunsBefore          notch.Time // no new runs are placed before then
 	endsProposedAt        notch.Time // when the ends of abandoned runs were last proposed
-	staleOrdersUntil      notch.Time // until then, orders to an earlier incarnation may take effect in this one
-	grantedAt             notch.Time // when the last order was sent that grants a lease; by former leaders: when this one was elected
+	grantedAt             notch.Time // when the last order was sent that grants a lease, to this or an earlier incarnation; by former leaders: when this one was elected
 	ackSentAt             notch.Time // when the renewal under way was sent, if it acknowledges ends; zero: it doesn't
 	unansweredAckAt       notch.Time // when the last acknowledgement was sent that this or an earlier incarnation left unanswered; by former leaders: when this one was elected; zero: none
 	heardAt               notch.Time // when the agent last answered an order, whichever incarnation of it did
@@ -81,11 +80,10 @@
 	queued          bool                  // the start wasn't sent yet
 	startSentAt     notch.Time            // zero: it wasn't sent, at least not by this leader
 	startOutcome    notch.AgentAnswerKind // empty: the start is not answered yet
-	startBroken     bool                  // the agent ended, or may have, while it had the start
 	repeats         int                   // how often the start was sent again
 	repeatedAt      notch.Time            // when it was last sent again; zero: never
-	startMalformed  bool                  // the answer to the start couldn't be decoded
 	listed          bool                  // the incarnation that it was placed on has listed it as live
+	confirmedHere   bool                  // that incarnation has confirmed the start, by the clock in the answer
 	startAnsweredAt notch.Time            // when startOutcome became known
 	atWorkSince     notch.Time            // when the agent first confirmed or listed it; zero: it didn't yet
 	brokenSentAt    notch.Time            // when the start was sent, if its connection ended at once; zero: it didn't
@@ -93,6 +91,9 @@
 	stopAnsweredAt  notch.Time            // when a stop was confirmed; zero: none was
 }
 
+// located reports whether the run was carried out by the incarnation that it was placed on.
+func (o runOrders) located() bool { return o.listed || o.confirmedHere }
+
 // runFields returns the fields of a log message about a run.
 func runFields(ref notch.RunRef, agent, outcome string) []notch.LogField {
 	return []notch.LogField{
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -38,6 +38,22 @@
 	return c.reading + int64(float64(now.Sub(c.readAt))*(1-MaxClockDrift)/float64(time.Millisecond))
 }
 
+// answerDelay limits how long an answer from an agent mostly takes, and how old the latest reading of its clock was
+// when it arrived.
+const answerDelay = 100 * time.Millisecond
+
+// Matches reports whether a reading in ms that was received at the given time is one of the same clock. A reading that
+// took unusually long doesn't match.
+func (c AgentClock) Matches(reading int64, receivedAt notch.Time) bool {
+	if !c.Known() || reading == 0 {
+		return false
+	}
+	elapsed := float64(receivedAt.Sub(c.readAt)) / float64(time.Millisecond)
+	lowest, highest := elapsed*(1-MaxClockDrift), elapsed*(1+MaxClockDrift)
+	since, delay := float64(reading-c.reading), float64(answerDelay/time.Millisecond)
+	return lowest-delay <= since && since <= highest+delay
+}
+
 // MaxDuration returns the longest time by the local clock that a lease of d by an agent's clock
 // lasts.
 func MaxDuration(d time.Duration) time.Duration {
@@ -82,6 +98,12 @@
 // ClockKnown reports whether the agent's clock has been read.
 func (l AgentLease) ClockKnown() bool { return l.clock.Known() }
 
+// ClockMatches reports whether a reading in ms that was received at the given time is one of the agent's clock, as far
+// as that is known.
+func (l AgentLease) ClockMatches(reading int64, receivedAt notch.Time) bool {
+	return l.clock.Matches(reading, receivedAt)
+}
+
 // Deadline returns the agent's time in ms at which a lease of d from now ends, or 0 if its
 // clock isn't known.
 func (l AgentLease) Deadline(now notch.Time, d time.Duration) int64 {
