A start isn't repeated once the end of its run is proposed

Cause: the leader gives up the runs of an agent that was silent, and proposes their ends. If the agent is heard again before these are committed, its lists lack a run whose start got no answer, and the start was repeated. Then the end is committed and the task placed elsewhere, while the agent carries out the repeat; if it is cut off again at once, no stop reaches it. It takes a commit of 0.1 s and more, as on a slow disk or without a quorum for a moment. Class: a decision that is on its way to the log isn't seen by the next one.

Change: the leader remembers that the end of a run is proposed that its agent hasn't listed, and proposes the same end again while it is missing.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -237,6 +237,7 @@
 			undecided = true
 			continue
 		}
+		s.noteProposedEnd(ref, kind)
 		end := notch.RunEnd{Run: ref, Kind: kind}
 		if r.Life != session.incarnation {
 			end.Suspicion = s.suspicionAfter(session, run, commonCause)
@@ -260,6 +261,9 @@
 		return notch.RunLost, true // the agent has seen the new incarnation's token, which is higher
 	}
 	orders, _ := s.runOrders.Get(ref)
+	if orders.proposedEnd != "" {
+		return orders.proposedEnd, true // it may be committed, so the start must not be repeated
+	}
 	if !s.placedHere(r) && orders.startSentAt == 0 {
 		if !s.mayOrder() || s.repeatsStart(session, a, ref, orders) {
 			return "", false
@@ -285,6 +289,13 @@
 	return "", false
 }
 
+// noteProposedEnd records that the end of a run is proposed that its agent hasn't listed.
+func (s *stepper) noteProposedEnd(ref notch.RunRef, kind notch.RunEndKind) {
+	orders, _ := s.runOrders.Get(ref)
+	orders.proposedEnd = kind
+	s.runOrders = s.runOrders.Set(ref, orders)
+}
+
 // checkLiveRun stops a run that an agent lists as live if the run isn't known or isn't wanted
 // any more. Otherwise it records that the run has started. It reports whether the run was placed on this
 // incarnation of the agent and isn't known to have ended.
--- a/flow/session.go
+++ b/flow/session.go
@@ -87,6 +87,7 @@
 	startAnsweredAt notch.Time            // when startOutcome became known
 	atWorkSince     notch.Time            // when the agent first confirmed or listed it; zero: it didn't yet
 	brokenSentAt    notch.Time            // when the start was sent, if its connection ended at once; zero: it didn't
+	proposedEnd     notch.RunEndKind      // how the run was given up, if that isn't committed yet; empty: it wasn't
 	stopSentAt      notch.Time            // zero: no stop is under way
 	stopAnsweredAt  notch.Time            // when a stop was confirmed; zero: none was
 }
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -63,6 +63,7 @@
 	commonCause := sync.OnceValue(func() bool { return s.commonCause(a) })
 	var ends []notch.RunEnd
 	for _, r := range abandoned {
+		s.noteProposedEnd(r.ref, notch.RunLeaseExpired)
 		ends = append(ends, notch.RunEnd{Run: r.ref, Kind: notch.RunLeaseExpired, Suspicion: s.suspicionAfter(session, r, commonCause)})
 	}
 	s.propose(notch.EndRuns{Life: session.incarnation, Ends: ends})
