A silent agent sees a higher token before the starts that are late

Cause of what could be excluded: the next incarnation was called when it announced itself, or when the call under way had timed out and a pause of up to 3 s had passed, and with the token of the late start until it was known.

Change: the token rises when an agent falls silent. While a start may be late, the agent is called every 250 ms; one call in eight may take the whole time, as the agent may be slow. These calls grant no lease and acknowledge nothing.

What remains is agents that are cut off before any call or announcement gets through.

--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -137,6 +137,6 @@
 	}
 	s.putSession(a.ID, s.renewed(agentSession{
 		incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: l, grantedAt: before.grantedAt,
-		predecessorAnsweredAt: before.lastAnsweredAt, unansweredAckAt: max(before.unansweredAckAt, before.ackSentAt),
+		predecessorAnsweredAt: before.lastAnsweredAt, lateStartsUntil: before.lateStartsUntil, unansweredAckAt: max(before.unansweredAckAt, before.ackSentAt),
 	}))
 }
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -20,6 +20,7 @@
 	a, _ := s.agent(session.incarnation.Agent)
 	if b.Answer.Kind != notch.AgentOK && session.unanswered == 0 {
 		s.recordLoss(a)
+		session = s.fencedOff(session)
 	}
 	switch {
 	case b.Answer.Kind == notch.AgentWrongIncarnation:
@@ -29,7 +30,7 @@
 		s.propose(notch.AdmitAgent{Agent: a})
 	case b.Answer.Kind != notch.AgentOK:
 		session.unanswered++
-		session.nextRenewalAt = s.now.Add(s.timing.RetryInterval * time.Duration(min(session.unanswered, maxBackoff)))
+		session.nextRenewalAt = s.now.Add(s.pauseAfterSilence(session, b))
 	case b.Answer.Born != 0 && b.Answer.Born > session.incarnation.Born:
 		session.succeeded, session.nextRenewalAt = true, s.now.Add(s.timing.RetryInterval)
 		a.Born, a.Draining, a.Left, a.Unannounced = b.Answer.Born, false, false, true
@@ -44,10 +45,6 @@
 	s.putSession(session.incarnation.Agent, session)
 }
 
-// maxBackoff limits the pause between orders to an agent that doesn't answer, in units of
-// Timing.RetryInterval.
-const maxBackoff = 6
-
 // processLists handles an agent's lists of live runs and of ends.
 func (s *stepper) processLists(session agentSession, a notch.Agent, b notch.AgentAnswered) {
 	if session.lastAnsweredAt == 0 {
@@ -66,6 +63,7 @@
 	ends, session.missesRuns = append(ends, endsOfMissing...), missing
 	if missing {
 		session.grantedAt = s.now // a repeated start has a deadline
+		session.lateStartsUntil = s.now.Add(maxOrderLateness)
 	}
 	ends = append(ends, s.unfoundedSuspicions(session)...)
 	s.controlColocation(a, b.Answer.Live)
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -47,7 +47,7 @@
 	if o.Ack != 0 {
 		session.ackSentAt = s.now
 	}
-	s.sendOrder(a, o)
+	s.callAgent(a, o, s.renewalTimeout(session, o))
 	return session
 }
 
@@ -75,10 +75,12 @@
 }
 
 func (s *stepper) sendOrder(a notch.Agent, o notch.AgentOrder) {
+	s.callAgent(a, o, s.timing.AnswerTimeout)
+}
+
+func (s *stepper) callAgent(a notch.Agent, o notch.AgentOrder, timeout time.Duration) {
 	s.count("agent-calls-"+string(o.Kind), 1)
-	s.out = append(s.out, notch.CallAgent{
-		Agent: a, Order: o, Timeout: o.Wait + s.timing.AnswerTimeout, SendBy: s.leadership.Contact.Add(s.timing.QuorumTimeout),
-	})
+	s.out = append(s.out, notch.CallAgent{Agent: a, Order: o, Timeout: timeout, SendBy: s.leadership.Contact.Add(s.timing.QuorumTimeout)})
 }
 
 // placedHere reports whether this leader placed a run. Another one sends its start only if its agent lacks the run.
--- a/flow/session.go
+++ b/flow/session.go
@@ -32,6 +32,7 @@
 	grantedAt             notch.Time // when the last order was sent that grants a lease, to this or an earlier incarnation; by former leaders: when this one was elected
 	ackSentAt             notch.Time // when the renewal under way was sent, if it acknowledges ends; zero: it doesn't
 	unansweredAckAt       notch.Time // when the last acknowledgement was sent that this or an earlier incarnation left unanswered; by former leaders: when this one was elected; zero: none
+	lateStartsUntil       notch.Time // until then, a start may be late of a run that the lists lacked
 	heardAt               notch.Time // when the agent last answered an order, whichever incarnation of it did
 }
 
