A run whose end may have been forgotten is asked for

Cause: an acknowledgement that was meant for one incarnation of an agent is carried out by the next one, and makes it forget ends by their position that the leader hasn't read. Its first list lacks the runs, and they were taken for lost.

Change: while an acknowledgement may be late, a run that the next incarnation may have had and doesn't list is asked for by sending its start again: it is refused as old if it has ended there, and carried out if it never was there, which is as good as a new placement. A list that begins with the first end shows that none was forgotten. A run that has ended unseen counts as done.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -230,7 +230,7 @@
 		if !ok || s.isQueued(ref) {
 			continue // sendStarts withdraws a run if its agent has restarted
 		}
-		kind, ended := s.decideMissingRun(session, a, ref, r, b.SentAt)
+		kind, ended := s.decideMissingRun(session, a, ref, r, b)
 		if !ended {
 			undecided = true
 			continue
@@ -252,16 +252,21 @@
 		slices.ContainsFunc(answer.Ends, func(e notch.ListedEnd) bool { return e.End.Run == ref })
 }
 
-// decideMissingRun decides how a run ended that is missing in the lists requested at the given
-// time. It returns false while the run may still be live or start.
-func (s *stepper) decideMissingRun(session agentSession, a notch.Agent, ref notch.RunRef, r notch.Run, requestedAt notch.Time) (notch.RunEndKind, bool) {
-	if r.Life != session.incarnation {
-		return notch.RunLost, true // the agent has seen the new incarnation's token, which is higher
-	}
+// decideMissingRun decides how a run ended that is missing in the lists of an answer. It returns false while the run
+// may still be live or start.
+func (s *stepper) decideMissingRun(session agentSession, a notch.Agent, ref notch.RunRef, r notch.Run, b notch.AgentAnswered) (notch.RunEndKind, bool) {
+	requestedAt := b.SentAt
 	orders, _ := s.runOrders.Get(ref)
 	if orders.proposedEnd != "" {
 		return orders.proposedEnd, true // it may be committed, so the start must not be repeated
 	}
+	if r.Life != session.incarnation && orders.askedOf != session.incarnation {
+		// The agent has seen the new incarnation's token, which is higher, so the run can't start there any more.
+		if s.mayHaveEndedUnseen(session, ref, r, b.Answer.Ends) && s.asksForRun(session, a, ref) {
+			return "", false
+		}
+		return notch.RunLost, true
+	}
 	if !s.placedHere(r) && orders.startSentAt == 0 {
 		if !s.mayOrder() || s.repeatsStart(session, a, ref, orders) {
 			return "", false
@@ -272,6 +277,11 @@
 	switch {
 	case orders.startOutcome == notch.AgentOK && !requestedAt.Before(orders.startAnsweredAt):
 		return notch.RunLost, true
+	case r.Life != session.incarnation:
+		if orders.startOutcome == notch.AgentOK || s.asksForRun(session, a, ref) {
+			return "", false
+		}
+		return notch.RunLost, true
 	case orders.startOutcome != notch.AgentNoAnswer:
 		// The start is not answered yet, was confirmed after the lists were requested, or was
 		// refused, which ends the run.
@@ -325,7 +335,7 @@
 	switch {
 	case !ok:
 		why = "it was given up or has ended"
-	case r.Life != session.incarnation:
+	case r.Life != session.incarnation && !s.wasAsked(session, ref):
 		why = "it was placed on another incarnation"
 	}
 	return w, t, r, why
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -190,6 +190,9 @@
 	s.sendStarts()
 	ref := b.Order.Run
 	r, ok := s.run(ref)
+	if orders, _ := s.runOrders.Get(ref); ok && r.Life != b.Life && orders.askedOf == b.Life {
+		s.askAnswered(b, orders)
+	}
 	if !ok || r.Life != b.Life {
 		return
 	}
--- a/flow/repeat.go
+++ b/flow/repeat.go
@@ -19,18 +19,25 @@
 func (s *stepper) repeatsStart(session agentSession, a notch.Agent, ref notch.RunRef, orders runOrders) bool {
 	w, t, r, why := s.liveRun(session, ref)
 	withheld := s.placedHere(r) && orders.startSentAt == 0
-	if why != "" || withheld || !w.MayRun(t) || orders.repeats >= maxStartRepeats || orders.stopSentAt != 0 {
+	if why != "" || withheld || !w.MayRun(t) || orders.stopSentAt != 0 {
 		return false
 	}
-	if a.Draining || a.Left || !s.stillFits(session, a, ref) {
+	return s.sendsCopy(session, a, ref, orders, "start repeated: it got no answer, and its agent doesn't list the run")
+}
+
+// sendsCopy sends the start of a run once more, or will after the next list, for the reason given. It returns false if
+// that has been done often enough, or the agent can't take the run.
+func (s *stepper) sendsCopy(session agentSession, a notch.Agent, ref notch.RunRef, orders runOrders, why string) bool {
+	if orders.repeats >= maxStartRepeats || a.Draining || a.Left || !s.stillFits(session, a, ref) {
 		return false
 	}
 	deadline := session.lease.GrantedUntil() // the order grants no lease of its own
 	if deadline < session.lease.Deadline(s.now, minRepeatLease) {
 		return true // the next list comes after a renewal
 	}
-	s.logMessage("start repeated: it got no answer, and its agent doesn't list the run", append(runFields(ref, a.ID, string(orders.startOutcome)),
-		notch.IntField("repeats", orders.repeats+1))...)
+	w, _ := s.workflows.Get(ref.Task.Flow)
+	t, _ := w.Task(ref.Task)
+	s.logMessage(why, append(runFields(ref, a.ID, string(orders.startOutcome)), notch.IntField("repeats", orders.repeats+1))...)
 	orders.startOutcome, orders.repeats, orders.repeatedAt = "", orders.repeats+1, s.now
 	if orders.startSentAt == 0 {
 		orders.startSentAt = s.now
--- a/flow/session.go
+++ b/flow/session.go
@@ -78,19 +78,20 @@
 
 // runOrders records the state of the orders about one run.
 type runOrders struct {
-	queued          bool                  // the start wasn't sent yet
-	startSentAt     notch.Time            // zero: it wasn't sent, at least not by this leader
-	startOutcome    notch.AgentAnswerKind // empty: the start is not answered yet
-	repeats         int                   // how often the start was sent again
-	repeatedAt      notch.Time            // when it was last sent again; zero: never
-	listed          bool                  // the incarnation that it was placed on has listed it as live
-	confirmedHere   bool                  // that incarnation has confirmed the start, by the clock in the answer
-	startAnsweredAt notch.Time            // when startOutcome became known
-	atWorkSince     notch.Time            // when the agent first confirmed or listed it; zero: it didn't yet
-	brokenSentAt    notch.Time            // when the start was sent, if its connection ended at once; zero: it didn't
-	proposedEnd     notch.RunEndKind      // how the run was given up, if that isn't committed yet; empty: it wasn't
-	stopSentAt      notch.Time            // zero: no stop is under way
-	stopAnsweredAt  notch.Time            // when a stop was confirmed; zero: none was
+	queued          bool                   // the start wasn't sent yet
+	startSentAt     notch.Time             // zero: it wasn't sent, at least not by this leader
+	startOutcome    notch.AgentAnswerKind  // empty: the start is not answered yet
+	repeats         int                    // how often the start was sent again
+	repeatedAt      notch.Time             // when it was last sent again; zero: never
+	listed          bool                   // the incarnation that it was placed on has listed it as live
+	confirmedHere   bool                   // that incarnation has confirmed the start, by the clock in the answer
+	startAnsweredAt notch.Time             // when startOutcome became known
+	atWorkSince     notch.Time             // when the agent first confirmed or listed it; zero: it didn't yet
+	brokenSentAt    notch.Time             // when the start was sent, if its connection ended at once; zero: it didn't
+	askedOf         notch.AgentIncarnation // the later incarnation to which the start was sent, as it may have had the run; zero: none
+	proposedEnd     notch.RunEndKind       // how the run was given up, if that isn't committed yet; empty: it wasn't
+	stopSentAt      notch.Time             // zero: no stop is under way
+	stopAnsweredAt  notch.Time             // when a stop was confirmed; zero: none was
 }
 
 // located reports whether the run was carried out by the incarnation that it was placed on.
--- a/flow/successor.go
+++ b/flow/successor.go
@@ -23,7 +23,7 @@
 		return false
 	}
 	switch {
-	case r.Life != session.incarnation:
+	case r.Life != session.incarnation && !s.wasAsked(session, ref):
 		return session.lastAnsweredAt == 0
 	case s.stageOf(ref).Lasts && orders.startOutcome != notch.AgentOK:
 		// To wait for a successor of which nothing is known would keep a long-running task away for too long.
