A list that doesn't name its incarnation proves nothing

An answer to a lease renewal without the time of the agent's start counted as one of the known incarnation: its clock was taken for the lease, the runs that it lacked were given up, and its ends counted and were acknowledged. The protocol puts the time on each list, so an answer without it may be of another incarnation, or of another writer.

Such an answer now counts as one that brought no lists: nothing is taken from it but that the agent answers, it is logged as not understood, and the agent is asked again after the retry interval, without a lease and without an acknowledgement. The platform's adapter decodes lists without the time, or with 0, as malformed; answers to other orders need not carry it. The product's own protocol sends no orders to agents.

--- a/flow/orders.go
+++ b/flow/orders.go
@@ -116,7 +116,7 @@
 	if !s.leadership.Leading || b.Order.Token>>incarnationBits != s.leadership.Term {
 		return
 	}
-	if b.Answer.Reason == notch.ReasonMalformed {
+	if b.Answer.Reason == notch.ReasonMalformed || isUnnamedList(b) {
 		s.logMessage("answer not understood", notch.TextField("agent", b.Life.Agent), notch.TextField("order", string(b.Order.Kind)))
 	}
 	session, ok := s.session(b.Life.Agent)
@@ -158,7 +158,13 @@
 
 // listsOf reports whether an answer holds the lists of an incarnation.
 func listsOf(incarnation notch.AgentIncarnation, b notch.AgentAnswered) bool {
-	return b.Order.Kind == notch.AgentRenew && b.Answer.Kind == notch.AgentOK && (b.Answer.Born == 0 || b.Answer.Born == incarnation.Born)
+	return b.Order.Kind == notch.AgentRenew && b.Answer.Kind == notch.AgentOK && b.Answer.Born != 0 && b.Answer.Born == incarnation.Born
+}
+
+// isUnnamedList reports whether an answer holds lists that don't name their incarnation. They may be of any, and
+// prove nothing.
+func isUnnamedList(b notch.AgentAnswered) bool {
+	return b.Order.Kind == notch.AgentRenew && b.Answer.Kind == notch.AgentOK && b.Answer.Born == 0
 }
 
 // receivedAt returns when an answer arrived.
