Leases of agents with slow clocks don't grow with the age of the reading

What callers would see: a task runs twice (TWICE). An agent whose clock runs 2% slow, as it may, and the leader are lost together; the next leader gives up the agent's runs 7.1 s after its election, while the agent holds its lease on.

Cause: the deadline of a lease was the clock's last reading plus the whole time since then. A clock that runs slow never reads more than its lower bound says, so the first reading stays, and the lease grew by 2% of the session's age, up to the longest that an agent takes: 9 s by its clock after 200 s instead of 5 s. The leader knows the deadlines that it sent, its successor counts with the usual length (formerLeasesEnd).

The deadline now counts from the lower bound of the clock, so that a lease lasts at most as long as was asked. An agent whose clock is exact gets one that is shorter by the time that its answers take to be read, as a later reading replaces one whose bound has fallen behind.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -82,13 +82,13 @@
 // ClockKnown reports whether the agent's clock has been read.
 func (l AgentLease) ClockKnown() bool { return l.clock.Known() }
 
-// Deadline returns the agent's time in ms at which a lease of d from now ends, or 0 if its
+// Deadline returns the agent's time in ms at which a lease of at most d from now ends, or 0 if its
 // clock isn't known.
 func (l AgentLease) Deadline(now notch.Time, d time.Duration) int64 {
 	if !l.ClockKnown() {
 		return 0
 	}
-	return l.clock.reading + now.Sub(l.clock.readAt).Milliseconds() + d.Milliseconds()
+	return l.clock.LowerBound(now) + d.Milliseconds()
 }
 
 // WithGrant returns the state after a lease up to deadline was sent.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -37,3 +37,24 @@
 		}
 	})
 }
+
+// TestDeadlineIsNoLongerThanAsked guards against leases that grow with the time since the clock of a slow agent was
+// last read: a new leader, which doesn't know them, counts with the usual length (TWICE).
+func TestDeadlineIsNoLongerThanAsked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := 1 + (rapid.Float64Range(-1, 1).Draw(t, "drift") * MaxClockDrift)
+		clock := func(at notch.Time) int64 { return int64(float64(at) * rate / float64(time.Millisecond)) }
+		now := notch.Time(time.Second)
+		l := New(0).WithClock(clock(now), now)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 30_000).Draw(t, "elapsed")) * time.Millisecond)
+			read := clock(now)
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "delay")) * time.Millisecond)
+			l = l.WithClock(read, now)
+			// Both clocks are read in whole milliseconds.
+			if got, want := l.Deadline(now, 4*time.Second)-clock(now), int64(4001); got > want {
+				t.Fatalf("got a lease of %d ms by the clock of the agent, want at most %d ms", got, want)
+			}
+		}
+	})
+}
