What an unanswered call hasn't delivered is dropped at its end

What callers would see: orders that are carried out long after their call has ended, by whoever is there then: late renewals, acknowledgements and CPU limits beside a cut or a lossy path (TWICE, HARM).

Cause: a call whose timeout had passed closed its connection, and the system went on sending what the peer's side hadn't received, for as long as it retries. An order that was written as a path broke so arrived when the path was back. The connection is reset now, which drops those bytes. What the peer's host has received may still be carried out, as the protocol says, so nothing that the leader waits for becomes shorter.

TestEndedCallIsNotDelivered fails before: its peer gets the whole call after the end.

--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -82,7 +82,7 @@
 
 // Post sends a call and passes the answer's status and body on to read. The body is valid until read
 // returns. The error is ErrNotSent or ErrExpired if nothing was sent; after any other one, such as ErrBroken, the peer may
-// have carried out the call, or may still do so.
+// have carried out the call, or may still do so if it has received it by then.
 func (c *Client) Post(call Call, read func(status int, body []byte)) error {
 	deadline := time.Now().Add(call.Timeout)
 	conn, err := c.pool.get(call.Address, deadline)
@@ -94,6 +94,9 @@
 		return errors.WithStack(ErrExpired)
 	}
 	reusable, err := c.exchange(conn, call, deadline, read)
+	if err != nil {
+		conn.discardUnsent()
+	}
 	c.pool.put(conn, reusable)
 	return err
 }
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -113,6 +115,35 @@
 	close(held)
 }
 
+// TestEndedCallIsNotDelivered guards against a call that its peer gets long after the caller has stopped waiting: the
+// path carried nothing for a while, and the system went on sending what was written before the timeout (TWICE).
+func TestEndedCallIsNotDelivered(t *testing.T) {
+	narrow := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	l, err := narrow.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	call := Call{Address: l.Addr().String(), Path: "/x", Body: make([]byte, 32<<10), Timeout: 100 * time.Millisecond}
+	if err := New().Post(call, func(int, []byte) {}); err == nil || errors.Is(err, ErrNotSent) || errors.Is(err, ErrBroken) {
+		t.Fatalf("got %v, want that the call was sent and not answered", err)
+	}
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if b, err := io.ReadAll(r.Body); err == nil {
+		t.Errorf("got a call of %d bytes after its end, want a broken connection", len(b))
+	}
+}
+
 // TestCallIsSentOnce guards against a call that is sent again because its connection ended before the
 // answer: the peer may have carried it out (TWICE).
 func TestCallIsSentOnce(t *testing.T) {
--- a/outbound/pool.go
+++ b/outbound/pool.go
@@ -63,6 +63,14 @@
 	element   *list.Element // in pool.idle; nil: in use
 }
 
+// discardUnsent has the connection's end reset it and drop what the peer hasn't received. Otherwise the system goes on
+// sending a call after its end, for as long as a path is interrupted.
+func (c *peerConn) discardUnsent() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+}
+
 func newPool(dial DialFunc, opts []Option) *pool {
 	p := &pool{
 		maxOpen: defaultMaxOpen, maxPerPeer: defaultPerPeer, patience: defaultPatience, maxUnchecked: defaultMaxUnchecked,
