A confirmed stop doesn't end a start that may be late

A start without an answer that isn't repeated, as its agent drains or has no room for it or three repeats got no answer, is stopped; with the next list the run ended as not started. But a stop binds the incarnation that confirms it: if that ends, the next one may carry out the start while the task runs elsewhere. The same holds for a start of a former leader that is not repeated.

Change: such a run is kept until its start can't be late any more. Long-running tasks aren't, as they must run again within seconds. While it is kept the agent is asked no more often than others, and its ends are acknowledged.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -232,7 +232,7 @@
 		}
 		kind, ended := s.decideMissingRun(session, a, ref, r, b)
 		if !ended {
-			undecided = true
+			undecided = undecided || !s.isStoppedHere(ref)
 			continue
 		}
 		s.noteProposedEnd(ref, kind)
@@ -271,8 +271,8 @@
 		if !s.mayOrder() || s.repeatsStart(session, a, ref, orders) {
 			return "", false
 		}
-		// The agent has seen this leader's token, so a start with an older one can't take effect.
-		return notch.RunNotStarted, true
+		// The agent has seen this leader's token, so a start with an older one can't take effect on this incarnation.
+		return notch.RunNotStarted, !s.mayBeLateFromFormerLeader(ref) || !s.now.Before(s.leadership.Ready.Add(maxOrderLateness))
 	}
 	switch {
 	case orders.startOutcome == notch.AgentOK && !requestedAt.Before(orders.startAnsweredAt):
@@ -287,7 +287,7 @@
 		// refused, which ends the run.
 		return "", false
 	case orders.stopAnsweredAt != 0 && !requestedAt.Before(orders.stopAnsweredAt):
-		return notch.RunNotStarted, true
+		return notch.RunNotStarted, s.stageOf(ref).Lasts || !s.mayStartLate(orders)
 	case orders.stopAnsweredAt == 0 && !requestedAt.Before(orders.startAnsweredAt) && s.mayOrder():
 		if s.repeatsStart(session, a, ref, orders) {
 			break
--- a/flow/repeat.go
+++ b/flow/repeat.go
@@ -69,6 +69,19 @@
 	s.runOrders = s.runOrders.Set(ref, orders)
 }
 
+// mayStartLate reports whether a start that got no answer may still be carried out. A stop that was confirmed binds the
+// incarnation that did, and not the next one.
+func (s *stepper) mayStartLate(orders runOrders) bool {
+	last := max(orders.startSentAt, orders.repeatedAt)
+	return last != 0 && s.now.Before(last.Add(maxOrderLateness))
+}
+
+// isStoppedHere reports whether a run was stopped on its agent and is kept only until its start can't be late any more.
+func (s *stepper) isStoppedHere(ref notch.RunRef) bool {
+	orders, _ := s.runOrders.Get(ref)
+	return orders.stopAnsweredAt != 0
+}
+
 // hasLateCopy reports whether a copy of the start of a run may still be carried out, although another one was.
 func (s *stepper) hasLateCopy(orders runOrders) bool {
 	return orders.repeats > 0 && s.now.Before(orders.repeatedAt.Add(maxOrderLateness+s.timing.MaxLease))
