--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -58,3 +58,31 @@
 		}
 	})
 }
+
+// TestClockMatchesOnlyItself guards against a start that was confirmed by the next incarnation of an agent and counts as
+// confirmed by the known one: readings of one clock match, however long the agent has run, and those of a clock that
+// started anew don't.
+func TestClockMatchesOnlyItself(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := 1 + (rapid.Float64Range(-1, 1).Draw(t, "drift") * MaxClockDrift)
+		clock := func(at notch.Time) int64 { return int64(float64(at) * rate / float64(time.Millisecond)) }
+		now := notch.Time(time.Second)
+		l := New(0).WithClock(clock(now), now)
+		for range rapid.IntRange(1, 100).Draw(t, "lists") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "elapsed")) * time.Millisecond)
+			l = l.WithClock(clock(now), now)
+		}
+		now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "since the list")) * time.Millisecond)
+		read := clock(now)
+		answered := now.Add(time.Duration(rapid.IntRange(0, 90).Draw(t, "delay")) * time.Millisecond)
+		if !l.ClockMatches(read, answered) {
+			t.Fatalf("got that the reading %d isn't one of the clock", read)
+		}
+		apart := int64(rapid.IntRange(300, 1000).Draw(t, "apart"))
+		for _, other := range []int64{read - apart, read + apart} {
+			if l.ClockMatches(other, answered) {
+				t.Fatalf("got that the reading %d is one of the clock, which reads %d", other, read)
+			}
+		}
+	})
+}
