Answers end their connections if a stop began while their requests were in progress

What callers saw: beside load, a graceful stop of an entry cut off requests on open connections (EOF, reset).

A server that drains ends each connection with its answer, so that no idle connection is left for the shutdown to close. Whether it drains was looked at when a request arrived. The answers to requests in progress at that moment left their connections open, for the next request to meet the shutdown. It is now looked at right before the header is written.

TestDrainEndsConnectionsOfRequestsInProgress failed before ("got that the connection stays open").

--- a/front/serve.go
+++ b/front/serve.go
@@ -31,13 +31,12 @@
 	return s
 }
 
-// endingConnections returns a handler that ends the connection after an answer while the server drains.
+// endingConnections returns a handler whose answers end their connections while the server drains.
 func (s Server) endingConnections(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
+		dw := &drainingWriter{ResponseWriter: w, draining: s.draining}
+		h.ServeHTTP(dw, r)
+		dw.finishHeader()
 	})
 }
 
