A shutdown ends idle connections only after a last read

What callers saw: beside load, a graceful stop of an entry cut off requests on open and on new connections (EOF, reset), some sent before the stop began.

A shutdown closed each connection from which nothing was read since its last answer. A request that the system held, and that the process was slow to read, was dropped with it. Now a shutdown only interrupts the read of an idle connection; its own goroutine reads once more and ends it if there is nothing.

--- a/front/conns.go
+++ b/front/conns.go
@@ -3,22 +3,38 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // newConnPatience is how long a connection without a request stays open while a server shuts down: its first
 // request may be on the way.
 const newConnPatience = 500 * time.Millisecond
 
+// lastReadTimeout limits the last read of an idle connection.
+const lastReadTimeout = 100 * time.Millisecond
+
 // conns are the open connections of a server. The HTTP server takes a connection for idle until it has parsed
-// the next request on it, and closes it at a shutdown although the request was read. Here a connection is idle
-// only if nothing was read from it since its last answer.
+// the next request on it, and closes it at a shutdown although a request has arrived. Here a shutdown only
+// interrupts the reads of idle connections, and a connection ends if there is nothing to read on it.
 type conns struct {
 	mu   sync.Mutex
 	open map[*trackedConn]bool
 }
 
+// readState tells what the next read of a connection is.
+type readState int
+
+// The states of a connection's reads.
+const (
+	reading     readState = iota
+	interrupted           // the read in progress ends, and the last one follows
+	readingLast           // unless this read gets something, the connection ends
+)
+
 // trackedConn is a connection of which is known whether a request was read that isn't answered yet.
 type trackedConn struct {
 	net.Conn
@@ -27,27 +43,62 @@
 	mu         sync.Mutex
 	used       bool // something was read
 	unanswered bool // something was read since the last answer
+	state      readState
 }
 
 // Read implements [net.Conn].
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.beginLastRead() {
+		// The system may hold a request that the interrupted read didn't see.
+		n, err = c.Conn.Read(b)
+	}
 	if n > 0 {
-		c.mu.Lock()
-		c.used, c.unanswered = true, true
-		c.mu.Unlock()
+		c.noteRead()
 	}
 	return n, err
 }
 
-// closeIfIdle closes the connection unless a request was read that isn't answered yet, or may still arrive
-// first on a new connection.
-func (c *trackedConn) closeIfIdle(now time.Time) {
+// beginLastRead reports whether the read in progress was interrupted, so that the last one follows.
+func (c *trackedConn) beginLastRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != interrupted {
+		return false
+	}
+	c.state = readingLast
+	c.Conn.SetReadDeadline(time.Now().Add(lastReadTimeout))
+	return true
+}
+
+// noteRead records that something was read.
+func (c *trackedConn) noteRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.unanswered && (c.used || now.Sub(c.openedAt) >= newConnPatience) {
-		c.Conn.Close()
+	c.used, c.unanswered = true, true
+	if c.state != reading {
+		c.state = reading
+		c.Conn.SetReadDeadline(time.Now().Add(headerTimeout))
+	}
+}
+
+// noteAnswer records that the request was answered.
+func (c *trackedConn) noteAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = false
+}
+
+// interruptIfIdle interrupts the read in progress unless a request was read that isn't answered yet, or may still
+// arrive first on a new connection. The HTTP server may have set another deadline since an earlier call.
+func (c *trackedConn) interruptIfIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == readingLast || c.unanswered || !c.used && now.Sub(c.openedAt) < newConnPatience {
+		return
 	}
+	c.state = interrupted
+	c.Conn.SetReadDeadline(now)
 }
 
 // changed follows a connection's state. It is a hook of http.Server.
@@ -62,9 +113,7 @@
 		s.open[c] = true
 		s.mu.Unlock()
 	case http.StateIdle:
-		c.mu.Lock()
-		c.unanswered = false
-		c.mu.Unlock()
+		c.noteAnswer()
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		delete(s.open, c)
@@ -72,13 +121,13 @@
 	}
 }
 
-// closeIdle closes the idle connections and reports whether none is left open.
-func (s *conns) closeIdle() bool {
+// endIdle ends the idle connections and reports whether none is left open.
+func (s *conns) endIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	for c := range s.open {
-		c.closeIfIdle(now)
+		c.interruptIfIdle(now)
 	}
 	return len(s.open) == 0
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -75,7 +75,7 @@
 	s.listener.Close()
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
-	for !s.conns.closeIdle() {
+	for !s.conns.endIdle() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
