A shutdown serves connections that are established but not accepted yet

What callers saw: beside load, a graceful stop of an entry reset connections ("connect: connection reset by peer", EOF).

A listener that closes makes the system reset the connections that wait to be accepted, some of which have sent their requests. A shutdown now connects to its own listener; the system passes connections on in their order, so that this one marks the end, and the accepting goroutine closes the listener when it meets it. A connection counts as open from its accept on, not from the first call of the HTTP server's hook, so that the shutdown doesn't end in between. At its timeout the listener closes as before.

--- a/front/conns.go
+++ b/front/conns.go
@@ -23,6 +23,34 @@
 type conns struct {
 	mu   sync.Mutex
 	open map[*trackedConn]bool
+	last string // remote address of the connection after which none is accepted; empty if it isn't known
+}
+
+// add adds a connection that was accepted and reports whether it is the last one.
+func (s *conns) add(c *trackedConn) (last bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = true
+	return c.RemoteAddr().String() == s.last
+}
+
+func (s *conns) remove(c *trackedConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// endAfter makes the connection from an address the last one, and reports whether it was accepted before.
+func (s *conns) endAfter(address string) (accepted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = address
+	for c := range s.open {
+		if c.RemoteAddr().String() == address {
+			return true
+		}
+	}
+	return false
 }
 
 // readState tells what the next read of a connection is.
@@ -108,16 +136,10 @@
 		return
 	}
 	switch state {
-	case http.StateNew:
-		s.mu.Lock()
-		s.open[c] = true
-		s.mu.Unlock()
 	case http.StateIdle:
 		c.noteAnswer()
 	case http.StateClosed, http.StateHijacked:
-		s.mu.Lock()
-		delete(s.open, c)
-		s.mu.Unlock()
+		s.remove(c)
 	}
 }
 
@@ -132,8 +154,11 @@
 	return len(s.open) == 0
 }
 
-// trackedListener accepts tracked connections.
-type trackedListener struct{ net.Listener }
+// trackedListener accepts tracked connections, up to the last one.
+type trackedListener struct {
+	net.Listener
+	conns *conns
+}
 
 // Accept implements [net.Listener].
 func (l trackedListener) Accept() (net.Conn, error) {
@@ -141,5 +166,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &trackedConn{Conn: conn, openedAt: time.Now()}, nil
+	c := &trackedConn{Conn: conn, openedAt: time.Now()}
+	if l.conns.add(c) {
+		l.Close()
+		l.conns.remove(c)
+		c.Close()
+		return nil, net.ErrClosed
+	}
+	return c, nil
 }
--- a/front/serve.go
+++ b/front/serve.go
@@ -21,13 +21,17 @@
 	listener net.Listener
 	conns    *conns
 	draining *atomic.Bool
+	accepted chan struct{} // closed when nothing more is accepted
 }
 
 // Serve starts to serve l in its own goroutine, until the server is closed.
 func Serve(l net.Listener, h http.Handler) Server {
-	s := Server{listener: l, conns: &conns{open: map[*trackedConn]bool{}}, draining: &atomic.Bool{}}
+	s := Server{listener: l, conns: &conns{open: map[*trackedConn]bool{}}, draining: &atomic.Bool{}, accepted: make(chan struct{})}
 	s.http = &http.Server{Handler: s.endingConnections(h), ReadHeaderTimeout: headerTimeout, ConnState: s.conns.changed}
-	go func() { s.http.Serve(trackedListener{lastingListener{l}}) }()
+	go func() {
+		defer close(s.accepted)
+		s.http.Serve(trackedListener{lastingListener{l}, s.conns})
+	}()
 	return s
 }
 
@@ -69,15 +73,17 @@
 // idlePoll is how often a server that shuts down looks for idle connections.
 const idlePoll = 5 * time.Millisecond
 
-// Shutdown implements notch.Server.
+// Shutdown implements notch.Server. Connections that are established already are still accepted: their clients
+// may have sent requests.
 func (s Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	s.listener.Close()
+	go s.endAccepting(ctx)
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
-	for !s.conns.endIdle() {
+	for !s.idle() {
 		select {
 		case <-ctx.Done():
+			s.listener.Close()
 			return ctx.Err()
 		case <-ticker.C:
 		}
@@ -85,6 +91,36 @@
 	return nil
 }
 
+// endAccepting closes the listener once all connections that are established by now are accepted. The system passes
+// them on in their order, so a connection of its own is the last one.
+func (s Server) endAccepting(ctx context.Context) {
+	var dialer net.Dialer
+	last, err := dialer.DialContext(ctx, s.listener.Addr().Network(), s.listener.Addr().String())
+	if err != nil {
+		s.listener.Close()
+		return
+	}
+	defer last.Close()
+	if s.conns.endAfter(last.LocalAddr().String()) {
+		s.listener.Close()
+	}
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+	}
+}
+
+// idle ends the idle connections and reports whether none is left and nothing more is accepted.
+func (s Server) idle() bool {
+	select {
+	case <-s.accepted:
+		return s.conns.endIdle()
+	default:
+		s.conns.endIdle()
+		return false
+	}
+}
+
 // Close implements notch.Server.
 func (s Server) Close() error { return s.http.Close() }
 
