The end of the load doesn't cut the main job's graceful stop short

The stop was called with the context of the load: when the load ended, it skipped the rest of the drain delay and of the wait for requests in flight. The edit that retires a backend server delayed the stop towards the end of the load. The stop now begins at two thirds of the load however long the edit takes, and takes as long as it needs.

--- a/load/balancer.go
+++ b/load/balancer.go
@@ -13,6 +13,9 @@
 // probeInterval is the time between two health checks of the balancer.
 const probeInterval = 200 * time.Millisecond
 
+// drainDelay is how long the balancer gets to notice that an entry is unready.
+const drainDelay = 2 * probeInterval
+
 // balancer simulates the load balancer in front of the entries. It distributes
 // requests at random over the entries whose /readyz succeeds.
 type balancer struct {
--- a/load/run.go
+++ b/load/run.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tamaracknotch/api"
+	"tamaracknotch/daemon"
 )
 
 // runLoad is the default run. It puts load on a testbed, retires a backend server,
@@ -66,17 +67,27 @@
 }
 
 // runOperations does what operators do during normal operation: it retires a backend
-// server after a third of the load, and stops a daemon gracefully after two thirds.
+// server after a third of the load, and stops a daemon gracefully after two thirds,
+// however long the edit takes.
 func (x *testbed) runOperations(ctx context.Context) {
 	third := x.settings.Duration / 3
-	sleep(ctx, third)
-	x.retireBackend(ctx, x.backends[0])
-	sleep(ctx, third-drainTime)
-	last := x.daemons[len(x.daemons)-1]
-	x.progressf("stopping daemon entry-3 gracefully")
-	if err := last.Stop(ctx); err != nil {
-		x.checker.check(noRequestCut, false, "stop: %v", err)
-	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		sleep(ctx, third)
+		x.retireBackend(ctx, x.backends[0])
+	})
+	wg.Go(func() {
+		sleep(ctx, 2*third)
+		x.stopEntry(ctx, x.daemons[len(x.daemons)-1])
+	})
+	wg.Wait()
+}
+
+// stopEntry stops a daemon gracefully. The stop takes as long as it needs, also beyond the end of the load.
+func (x *testbed) stopEntry(ctx context.Context, d *daemon.Daemon) {
+	x.progressf("stopping the entry at %s gracefully", d.CallerAddr())
+	err := d.Stop(context.WithoutCancel(ctx))
+	x.checker.check(noRequestCut, err == nil, "stop: %v", err)
 }
 
 // drainTime is the time after which a leaving backend server must receive no new
--- a/load/testbed.go
+++ b/load/testbed.go
@@ -63,7 +63,7 @@
 	cfg.Policies = x.settings.Policies
 	cfg.DataDir = filepath.Join(x.dir, name)
 	cfg.Bootstrap = i == 0
-	cfg.DrainDelay = daemon.Duration(2 * probeInterval)
+	cfg.DrainDelay = daemon.Duration(drainDelay)
 	cfg.LogLevel = "warn"
 	for _, d := range x.daemons {
 		cfg.Join = append(cfg.Join, d.LinkAddr())
