An attempt keeps its slot until the backend server has answered

A request of 10 ms was still at the backend server 2.1 s after it was sent, 40 ms before its deadline.

An attempt ended one timeout after its request's deadline, here 2.04 s after it was sent: it was cancelled and its slot used again, though nothing had shown that the backend server was done. A timeout stood in for knowledge. Now an attempt lasts until the answer has been read or the connection breaks. A backend server that never answers a request keeps that slot for as long as it keeps the connection; its other slots are used as before.

For an entry that is out of reach the leader still counts twice the longest timeout, as it can't know more.

TestAttemptLastsAsLongAsBackendServerWorks failed before (the attempt ended as truncated or failed while the backend server worked).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -52,11 +52,12 @@
 	cancel    context.CancelFunc
 }
 
-// start sends the request in the background. The attempt may continue for the length
-// of the route's timeout after the request's deadline.
+// start sends the request in the background. The attempt continues after the request's
+// deadline until the backend server has answered or the connection breaks: until then the
+// backend server may work on it.
 func (a *attempts) start(d notch.Dispatch) {
 	x := a.x
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.r.Context()), x.deadline.Add(x.route.Timeout))
+	ctx, cancel := context.WithCancel(context.WithoutCancel(x.r.Context()))
 	f := finishedAttempt{startedAt: time.Now(), cancel: cancel, event: notch.AttemptEnded{Attempt: d.Attempt, Server: d.Server.ID()}}
 	a.inFlight++
 	go func() {
@@ -66,8 +67,7 @@
 }
 
 // fetch sends the request and buffers the beginning of the answer. It sends nothing after the
-// request's deadline, as a backend server could then work on the request for longer than the attempt
-// keeps its slot.
+// request's deadline, when the caller has been answered.
 func (x *exchange) fetch(ctx context.Context, d notch.Dispatch) attemptResult {
 	if !time.Now().Before(x.deadline) {
 		return attemptResult{outcome: notch.AttemptNotSent}
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -32,3 +32,37 @@
 		t.Errorf("requests at the backend server: got %d, want 0", got)
 	}
 }
+
+// Guards against a slot that is given back while the backend server still works on the attempt (LIMIT).
+func TestAttemptLastsAsLongAsBackendServerWorks(t *testing.T) {
+	arrived, released := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(arrived)
+		<-released
+	}))
+	defer server.Close()
+	r := httptest.NewRequest(http.MethodGet, "/sale", nil)
+	b, err := readBody(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &exchange{h: &Handler{servers: newTransports()}, r: r, body: b, deadline: time.Now().Add(time.Second)}
+	sends := attempts{x: x, finished: make(chan finishedAttempt, finishedCapacity)}
+	sends.start(notch.Dispatch{Server: notch.BackendServer{Name: "s1", Address: strings.TrimPrefix(server.URL, "http://")}})
+	<-arrived
+	select {
+	case f := <-sends.finished:
+		t.Errorf("got the end %v of the attempt while the backend server works on it, want none", f.outcome)
+	case <-time.After(time.Until(x.deadline) + 200*time.Millisecond):
+	}
+	close(released)
+	if t.Failed() {
+		return
+	}
+	f := <-sends.finished
+	defer f.cancel()
+	if f.resp == nil {
+		t.Fatalf("got the outcome %v, want an answer", f.outcome)
+	}
+	f.resp.Body.Close()
+}
--- a/share/share.go
+++ b/share/share.go
@@ -44,9 +44,9 @@
 // host's clock advances by d.
 func withDrift(d time.Duration) time.Duration { return d + time.Duration(float64(d)*2*MaxClockDrift) }
 
-// maxSlotOccupancy returns the longest time that a request may occupy a slot. This is
-// twice the longest timeout of the routes, as an attempt may continue for another
-// timeout after its caller was answered.
+// maxSlotOccupancy returns how long the requests of an entry that is out of reach count
+// as using their slots: twice the longest timeout of the routes. An entry that is in
+// reach reports a slot as in use until its attempt has ended, however long that takes.
 func maxSlotOccupancy(t notch.Tables) time.Duration {
 	var d time.Duration
 	for _, r := range t.Routes {
