The main job lays only those requests on a graceful stop that it has cut off

The tool counted each request without an answer: of any entry, at any time, also if the caller gave up by itself, 5 s before the stop; and requests that reached the entry when its drain delay was over, as the balancer had probed three entries one after the other or the caller had held the request for seconds. The promise holds if the balancer notices in time, which the tool didn't look at.

It now judges a request by when it reached the entry (load/stop.go). Each one that did so before the end of the drain delay must be answered. Each one that isn't laid on the stop or on the balancer breaks a promise of its own, "every other request gets an answer". Those that came too late are counted in the report. So that nothing is excused that was an error before: "an entry that stops is unready at once" is checked at each probe, and TestStopServesUnreadyForDrainDelay needs no load. Entries are probed at the same time, so that the balancer notices within a probe's interval and timeout. The examples of the report name the steps of a request.

--- a/load/callers.go
+++ b/load/callers.go
@@ -7,11 +7,15 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tamaracknotch/api"
 )
 
@@ -30,6 +34,7 @@
 	balancer  *balancer
 	checker   *checker
 	runs      *runCounter
+	stop      *atomic.Pointer[gracefulStop]
 	client    *http.Client
 	rand      *rand.Rand
 	startedAt time.Time
@@ -41,10 +46,10 @@
 	refusals      map[string]int
 }
 
-func newCallers(p profile, b *balancer, check *checker, runs *runCounter, seed uint64) *callers {
+func newCallers(p profile, b *balancer, check *checker, runs *runCounter, stop *atomic.Pointer[gracefulStop], seed uint64) *callers {
 	tr := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second}
 	return &callers{
-		profile: p, balancer: b, checker: check, runs: runs, refusals: map[string]int{},
+		profile: p, balancer: b, checker: check, runs: runs, stop: stop, refusals: map[string]int{},
 		client: &http.Client{Transport: tr, Timeout: 10 * time.Second}, rand: rand.New(rand.NewPCG(seed, uint64(len(p.name)))),
 	}
 }
@@ -122,8 +127,10 @@
 		c.record(r, 0, false, "no entry is ready")
 		return
 	}
+	trace := newRequestTrace(target)
+	req := c.httpRequest(target, r)
 	sentAt := time.Now()
-	resp, err := c.client.Do(c.httpRequest(target, r))
+	resp, err := c.client.Do(req.WithContext(trace.attach(req.Context())))
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(resp.Body)
@@ -131,15 +138,28 @@
 	}
 	latency := time.Since(sentAt)
 	if err != nil {
-		// The run itself breaks no connection, so an entry has cut this request off.
-		c.checker.check(noRequestCut, false, "request %s: %v", r.nonce, err)
-		c.record(r, latency, false, "connection broken")
+		c.recordFailure(r, latency, trace, err)
 		return
 	}
 	c.checker.check(noRequestCut, true, "")
+	c.checker.check(everyAnswer, true, "")
 	c.checkAnswer(r, resp, body, latency)
 }
 
+// recordFailure records a request that got no answer, and checks whose fault that is.
+func (c *callers) recordFailure(r request, latency time.Duration, trace *requestTrace, err error) {
+	failedAt := time.Now()
+	var timeout net.Error
+	f := failedRequest{
+		entry: trace.entry, reachedAt: trace.reachedAt(failedAt), failedAt: failedAt,
+		gaveUp: errors.As(err, &timeout) && timeout.Timeout(),
+	}
+	v := c.stop.Load().judge(f)
+	c.checker.check(noRequestCut, v != cutOff, "request %s: %v (%s)", r.nonce, err, trace.describe(c.startedAt))
+	c.checker.check(everyAnswer, v != unanswered, "request %s: %v (%s)", r.nonce, err, trace.describe(c.startedAt))
+	c.record(r, latency, false, reasonOf(v))
+}
+
 func (c *callers) httpRequest(target string, r request) *http.Request {
 	method, body := http.MethodGet, []byte(nil)
 	if r.nonIdempotent {
--- a/load/check.go
+++ b/load/check.go
@@ -18,10 +18,12 @@
 	atMostOnce        promise = "non-idempotent requests run at most once"
 	drainedInTime     promise = "a leaving backend server gets nothing new after 2 s"
 	noRequestCut      promise = "a graceful stop cuts off no request"
+	unreadyAtOnce     promise = "an entry that stops is unready at once"
+	everyAnswer       promise = "every other request gets an answer"
 	editInForce       promise = "an accepted edit is in force and never reverts"
 )
 
-var promises = []promise{hostLimits, oneAttemptAtATime, countedOnce, wholeAnswer, notRunIsTrue, atMostOnce, drainedInTime, noRequestCut, editInForce}
+var promises = []promise{hostLimits, oneAttemptAtATime, countedOnce, wholeAnswer, notRunIsTrue, atMostOnce, drainedInTime, noRequestCut, unreadyAtOnce, everyAnswer, editInForce}
 
 // maxExamples is the number of violations that the report describes.
 const maxExamples = 5
--- a/load/report.go
+++ b/load/report.go
@@ -22,6 +22,7 @@
 	Promises []PromiseReport  `json:"promises"`
 	Examples []string         `json:"examples,omitempty"`
 	Sends    float64          `json:"sends-per-request"`
+	TooLate  int              `json:"sent-too-late"` // requests that reached a stopping entry after its drain delay and got no answer
 	Counters map[string]int64 `json:"counters"`
 }
 
@@ -150,7 +151,8 @@
 	b := r.Batch
 	fmt.Fprintf(w, "\nbatch: %d tasks, %.1f a second, %d evictions, p99 slowdown of short %.1f, urgent start p99 %.0f ms\n",
 		b.Tasks, b.PerSecond, b.Evictions, b.ShortSlowdown, b.UrgentStart)
-	fmt.Fprintf(w, "sends per request: %.3f\n\n", r.Sends)
+	fmt.Fprintf(w, "sends per request: %.3f\n", r.Sends)
+	fmt.Fprintf(w, "requests sent to a stopping entry after its drain delay: %d\n\n", r.TooLate)
 	t = tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(t, "promise\tchecks\tviolations")
 	for _, p := range r.Promises {
--- a/load/run.go
+++ b/load/run.go
@@ -27,7 +27,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	x.cancel = cancel
-	balancer := newBalancer(ctx, x.daemons)
+	balancer := newBalancer(ctx, x.daemons, x.checker, &x.stop)
 	x.startWorkers(ctx)
 	time.Sleep(warmUpTime)
 	x.progressf("%d daemons, %d backend servers; load for %v", len(x.daemons), len(x.backends), s.Duration)
@@ -38,7 +38,7 @@
 	var all []*callers
 	batch := &batchLoad{testbed: x, rand: rand.New(rand.NewPCG(s.Seed, 2))}
 	for _, p := range profiles {
-		c := newCallers(p, balancer, x.checker, x.runs, s.Seed)
+		c := newCallers(p, balancer, x.checker, x.runs, &x.stop, s.Seed)
 		all = append(all, c)
 		wg.Go(func() { c.run(loadCtx) })
 		wg.Go(func() { batch.run(loadCtx, p) })
@@ -86,6 +86,7 @@
 // stopEntry stops a daemon gracefully. The stop takes as long as it needs, also beyond the end of the load.
 func (x *testbed) stopEntry(ctx context.Context, d *daemon.Daemon) {
 	x.progressf("stopping the entry at %s gracefully", d.CallerAddr())
+	x.stop.Store(&gracefulStop{entry: d.CallerAddr(), begunAt: time.Now(), drainDelay: drainDelay})
 	err := d.Stop(context.WithoutCancel(ctx))
 	x.checker.check(noRequestCut, err == nil, "stop: %v", err)
 }
@@ -144,6 +145,7 @@
 	for _, c := range all {
 		c.checkAtMostOnce()
 		r.Services = append(r.Services, c.report())
+		r.TooLate += c.refusals[reasonOf(sentTooLate)]
 	}
 	batch.checkCountedOnce()
 	for _, b := range x.backends {
--- a/load/testbed.go
+++ b/load/testbed.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,7 @@
 	checker     *checker
 	runs        *runCounter
 	tasks       *taskTracker
+	stop        atomic.Pointer[gracefulStop] // nil until an entry is stopped
 	dir         string
 	daemons     []*daemon.Daemon
 	backends    []*backend
