--- a/load/run.go
+++ b/load/run.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tamaracknotch/api"
+	"tamaracknotch/daemon"
 )
 
 // runLoad is the default run. It puts load on a testbed, retires a backend server,
@@ -26,7 +27,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	x.cancel = cancel
-	balancer := newBalancer(ctx, x.daemons)
+	balancer := newBalancer(ctx, x.daemons, x.checker, &x.stop)
 	x.startWorkers(ctx)
 	time.Sleep(warmUpTime)
 	x.progressf("%d daemons, %d backend servers; load for %v", len(x.daemons), len(x.backends), s.Duration)
@@ -37,7 +38,7 @@
 	var all []*callers
 	batch := &batchLoad{testbed: x, rand: rand.New(rand.NewPCG(s.Seed, 2))}
 	for _, p := range profiles {
-		c := newCallers(p, balancer, x.checker, x.runs, s.Seed)
+		c := newCallers(p, balancer, x.checker, x.runs, &x.stop, s.Seed)
 		all = append(all, c)
 		wg.Go(func() { c.run(loadCtx) })
 		wg.Go(func() { batch.run(loadCtx, p) })
@@ -66,17 +67,28 @@
 }
 
 // runOperations does what operators do during normal operation: it retires a backend
-// server after a third of the load, and stops a daemon gracefully after two thirds.
+// server after a third of the load, and stops a daemon gracefully after two thirds,
+// however long the edit takes.
 func (x *testbed) runOperations(ctx context.Context) {
 	third := x.settings.Duration / 3
-	sleep(ctx, third)
-	x.retireBackend(ctx, x.backends[0])
-	sleep(ctx, third-drainTime)
-	last := x.daemons[len(x.daemons)-1]
-	x.progressf("stopping daemon entry-3 gracefully")
-	if err := last.Stop(ctx); err != nil {
-		x.checker.check(noRequestCut, false, "stop: %v", err)
-	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		sleep(ctx, third)
+		x.retireBackend(ctx, x.backends[0])
+	})
+	wg.Go(func() {
+		sleep(ctx, 2*third)
+		x.stopEntry(ctx, x.daemons[len(x.daemons)-1])
+	})
+	wg.Wait()
+}
+
+// stopEntry stops a daemon gracefully. The stop takes as long as it needs, also beyond the end of the load.
+func (x *testbed) stopEntry(ctx context.Context, d *daemon.Daemon) {
+	x.progressf("stopping the entry at %s gracefully", d.CallerAddr())
+	x.stop.Store(&gracefulStop{entry: d.CallerAddr(), begunAt: time.Now(), drainDelay: drainDelay})
+	err := d.Stop(context.WithoutCancel(ctx))
+	x.checker.check(noRequestCut, err == nil, "stop: %v", err)
 }
 
 // drainTime is the time after which a leaving backend server must receive no new
@@ -133,6 +145,7 @@
 	for _, c := range all {
 		c.checkAtMostOnce()
 		r.Services = append(r.Services, c.report())
+		r.TooLate += c.refusals[reasonOf(sentTooLate)]
 	}
 	batch.checkCountedOnce()
 	for _, b := range x.backends {
--- a/load/testbed.go
+++ b/load/testbed.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,7 @@
 	checker     *checker
 	runs        *runCounter
 	tasks       *taskTracker
+	stop        atomic.Pointer[gracefulStop] // nil until an entry is stopped
 	dir         string
 	daemons     []*daemon.Daemon
 	backends    []*backend
@@ -63,7 +65,7 @@
 	cfg.Policies = x.settings.Policies
 	cfg.DataDir = filepath.Join(x.dir, name)
 	cfg.Bootstrap = i == 0
-	cfg.DrainDelay = daemon.Duration(2 * probeInterval)
+	cfg.DrainDelay = daemon.Duration(drainDelay)
 	cfg.LogLevel = "warn"
 	for _, d := range x.daemons {
 		cfg.Join = append(cfg.Join, d.LinkAddr())
