A workflow waits until a task of it is known to have started

Cause: a workflow counted as begun from the commit of its first placement on. While the start was late, or without an answer, no task had started; after the run had been given up as not started, it stayed counted as begun. The play of the report wasn't repeated; that it had this cause is by reading.

The leader, which alone answers the query, subtracts those of which an agent has confirmed a start, or listed a run as live or ended. A new leader learns that from the first lists; until then it names too many rather than too few. Queued and running, as callers read them, are as before.

--- a/flow/flow.go
+++ b/flow/flow.go
@@ -92,7 +92,7 @@
 	// Derived from the replicated state:
 	waiting        *immutable.SortedMap[string, struct{}]         // ids of the workflows with open tasks without a run
 	active         int                                            // number of workflows that have tasks to run or runs to end
-	queuedByRoute  *immutable.Map[string, int]                    // number of workflows of which no task has started
+	queuedByRoute  *immutable.Map[string, int]                    // number of workflows that are queued, see isQueued
 	loads          *immutable.Map[string, *agentLoad]             // by agent
 	addressHolders *immutable.Map[string, notch.AgentIncarnation] // latest incarnation at each address
 	suspectedTasks *immutable.Map[string, []notch.TaskRef]        // by agent that fell silent under them; tasks that were cleared since may be among them
@@ -110,6 +110,7 @@
 	sessions             *immutable.SortedMap[string, *agentSession] // by agent
 	losses               []agentLoss                                 // of the last seconds; never modified in place
 	runOrders            *immutable.Map[notch.RunRef, runOrders]
+	begun                begunWorkflows // among those that are queued
 	startsUnderWay       startsUnderWay
 	startQueue           startQueue
 	startWaits           startWaits
@@ -167,6 +168,7 @@
 	p.sessions = immutable.NewSortedMap[string, *agentSession](nil)
 	p.losses, p.startsUnderWay, p.startQueue = nil, startsUnderWay{}, newStartQueue()
 	p.runOrders = immutable.NewMap[notch.RunRef, runOrders](runRefHasher{})
+	p.begun = newBegunWorkflows()
 	p.cpuLimitsByRun = immutable.NewMap[notch.RunRef, cpuLimit](runRefHasher{})
 	p.colocations = immutable.NewMap[string, colocationState](nil)
 	p.colocationModel = p.policy.ColocationModel
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -158,6 +158,7 @@
 			continue
 		}
 		upTo = max(upTo, l.N)
+		s.noteBegun(l.End.Run.Task.Flow)
 		if t, ok := s.task(l.End.Run.Task); ok && len(t.Suspects) > 0 {
 			l.End.Suspicion = notch.SuspicionCleared
 		}
@@ -332,6 +333,7 @@
 		orders.startOutcome, orders.startAnsweredAt = notch.AgentOK, s.now
 	}
 	orders.listed = true
+	s.noteBegun(ref.Task.Flow)
 	s.runOrders = s.runOrders.Set(ref, orders)
 }
 
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -190,6 +190,9 @@
 	}
 	s.sendStarts()
 	ref := b.Order.Run
+	if b.Answer.Kind == notch.AgentOK {
+		s.noteBegun(ref.Task.Flow)
+	}
 	r, ok := s.run(ref)
 	if !ok || r.Life != b.Life {
 		return
--- a/flow/query.go
+++ b/flow/query.go
@@ -17,7 +17,7 @@
 			result.Flow = notch.WorkflowStatus{ID: b.Question.Name, State: w.State, Reason: w.Reason}
 		}
 	case notch.QueryPending:
-		result.Pending, _ = s.queuedByRoute.Get(b.Question.Name)
+		result.Pending = s.pending(b.Question.Name)
 	default:
 		return
 	}
--- a/flow/workflows.go
+++ b/flow/workflows.go
@@ -36,6 +36,7 @@
 	if isQueued(w) != isQueued(old) {
 		queued, _ := s.queuedByRoute.Get(w.Flow.Route)
 		s.queuedByRoute = s.queuedByRoute.Set(w.Flow.Route, queued+sign(isQueued(w)))
+		s.begun = s.begun.without(w)
 	}
 }
 
@@ -44,8 +45,9 @@
 	return w != nil && (!w.State.Ended() || w.LiveRuns() > 0)
 }
 
-// isQueued reports whether no task of a workflow has started.
-func isQueued(w *graph.Workflow) bool { return w != nil && w.State == notch.WorkflowQueued }
+// isQueued reports whether a workflow hasn't ended, and no end of a run shows that a task has started. The leader may
+// know of one, see begunWorkflows.
+func isQueued(w *graph.Workflow) bool { return w != nil && !w.State.Ended() && !w.HasBegun() }
 
 // sign returns 1 if up is true, otherwise -1.
 func sign(up bool) int {
--- a/graph/graph.go
+++ b/graph/graph.go
@@ -24,6 +24,7 @@
 	unfinished    int                     // number of tasks that are not done
 	waiting       int                     // number of open tasks without a run
 	liveRuns      int                     // number of runs that aren't known to have ended
+	begun         bool                    // a run of a task is known to have been done or to have failed
 	criticalPaths []time.Duration         // by stage
 	runTimes      []time.Duration         // by stage, of its longest run where that was longer than declared; nil: none was; not in records
 	failedTimes   []time.Duration         // by stage, what the task with the most failed runs lost to them; nil: none failed; not in records
@@ -61,6 +62,7 @@
 		w.waiting += g.waiting
 		for _, t := range row {
 			w.liveRuns += len(t.Runs)
+			w.begun = w.begun || hasBegun(t)
 		}
 	}
 	w.groups = groups.List()
@@ -77,6 +79,13 @@
 	return out
 }
 
+// hasBegun reports whether a run of a task was done or has failed. How others ended isn't kept.
+func hasBegun(t notch.WorkflowTask) bool { return t.State == notch.TaskDone || t.Failures > 0 }
+
+// HasBegun reports whether the ends of its runs show that a task of the workflow has started. Runs that are placed
+// may not start.
+func (w *Workflow) HasBegun() bool { return w.begun }
+
 // LiveRuns returns the number of runs that aren't known to have ended.
 func (w *Workflow) LiveRuns() int { return w.liveRuns }
 
@@ -186,6 +195,7 @@
 	next.unfinished += changed.unfinished - old.unfinished
 	next.waiting += changed.waiting - old.waiting
 	next.liveRuns += len(t.Runs) - len(old.tasks.Get(ref.Index).Runs)
+	next.begun = next.begun || hasBegun(t)
 	return next.deriveState(t, at)
 }
 
