--- a/flow/lists.go
+++ b/flow/lists.go
@@ -12,7 +12,7 @@
 
 // renewalAnswered handles the answer to a lease renewal.
 func (s *stepper) renewalAnswered(session agentSession, b notch.AgentAnswered) {
-	session.renewalSentAt = 0
+	session = session.withRenewalAnswered(b)
 	if b.Answer.Reason == notch.ReasonExpired {
 		s.putSession(session.incarnation.Agent, session) // this leader was late, not the agent; the next tick renews
 		return
@@ -20,6 +20,7 @@
 	a, _ := s.agent(session.incarnation.Agent)
 	if b.Answer.Kind != notch.AgentOK && session.unanswered == 0 {
 		s.recordLoss(a)
+		session = s.fencedOff(session)
 	}
 	switch {
 	case b.Answer.Kind == notch.AgentWrongIncarnation:
@@ -29,7 +30,7 @@
 		s.propose(notch.AdmitAgent{Agent: a})
 	case b.Answer.Kind != notch.AgentOK:
 		session.unanswered++
-		session.nextRenewalAt = s.now.Add(s.timing.RetryInterval * time.Duration(min(session.unanswered, maxBackoff)))
+		session.nextRenewalAt = s.now.Add(s.pauseAfterSilence(session, b))
 	case b.Answer.Born != 0 && b.Answer.Born > session.incarnation.Born:
 		session.succeeded, session.nextRenewalAt = true, s.now.Add(s.timing.RetryInterval)
 		a.Born, a.Draining, a.Left, a.Unannounced = b.Answer.Born, false, false, true
@@ -44,10 +45,6 @@
 	s.putSession(session.incarnation.Agent, session)
 }
 
-// maxBackoff limits the pause between orders to an agent that doesn't answer, in units of
-// Timing.RetryInterval.
-const maxBackoff = 6
-
 // processLists handles an agent's lists of live runs and of ends.
 func (s *stepper) processLists(session agentSession, a notch.Agent, b notch.AgentAnswered) {
 	if session.lastAnsweredAt == 0 {
@@ -66,6 +63,7 @@
 	ends, session.missesRuns = append(ends, endsOfMissing...), missing
 	if missing {
 		session.grantedAt = s.now // a repeated start has a deadline
+		session.lateStartsUntil = s.now.Add(maxOrderLateness)
 	}
 	ends = append(ends, s.unfoundedSuspicions(session)...)
 	s.controlColocation(a, b.Answer.Live)
@@ -233,17 +231,18 @@
 		if !ok || s.isQueued(ref) {
 			continue // sendStarts withdraws a run if its agent has restarted
 		}
-		kind, ended := s.decideMissingRun(session, a, ref, r, b.SentAt)
+		kind, ended := s.decideMissingRun(session, a, ref, r, b)
 		if !ended {
 			undecided = true
 			continue
 		}
+		s.noteProposedEnd(ref, kind)
 		end := notch.RunEnd{Run: ref, Kind: kind}
 		if r.Life != session.incarnation {
 			end.Suspicion = s.suspicionAfter(session, run, commonCause)
 		}
 		out = append(out, end)
-		s.logMessage("run given up: its agent doesn't list it", runFields(ref, a.ID, string(kind))...)
+		s.logMessage("run given up: its agent doesn't list it", append(runFields(ref, a.ID, string(kind)), s.proofFields(session, ref)...)...)
 	}
 	return out, undecided
 }
@@ -254,13 +253,21 @@
 		slices.ContainsFunc(answer.Ends, func(e notch.ListedEnd) bool { return e.End.Run == ref })
 }
 
-// decideMissingRun decides how a run ended that is missing in the lists requested at the given
-// time. It returns false while the run may still be live or start.
-func (s *stepper) decideMissingRun(session agentSession, a notch.Agent, ref notch.RunRef, r notch.Run, requestedAt notch.Time) (notch.RunEndKind, bool) {
-	if r.Life != session.incarnation {
-		return notch.RunLost, true // the agent has seen the new incarnation's token, which is higher
-	}
+// decideMissingRun decides how a run ended that is missing in the lists of an answer. It returns false while the run
+// may still be live or start.
+func (s *stepper) decideMissingRun(session agentSession, a notch.Agent, ref notch.RunRef, r notch.Run, b notch.AgentAnswered) (notch.RunEndKind, bool) {
+	requestedAt := b.SentAt
 	orders, _ := s.runOrders.Get(ref)
+	if orders.proposedEnd != "" {
+		return orders.proposedEnd, true // it may be committed, so the start must not be repeated
+	}
+	if r.Life != session.incarnation && orders.askedOf != session.incarnation {
+		// The agent has seen the new incarnation's token, which is higher, so the run can't start there any more.
+		if s.mayHaveEndedUnseen(session, ref, r, b.Answer.Ends) && s.asksForRun(session, a, ref) {
+			return "", false
+		}
+		return notch.RunLost, true
+	}
 	if !s.placedHere(r) && orders.startSentAt == 0 {
 		if !s.mayOrder() || s.repeatsStart(session, a, ref, orders) {
 			return "", false
@@ -271,6 +278,11 @@
 	switch {
 	case orders.startOutcome == notch.AgentOK && !requestedAt.Before(orders.startAnsweredAt):
 		return notch.RunLost, true
+	case r.Life != session.incarnation:
+		if orders.startOutcome == notch.AgentOK || s.asksForRun(session, a, ref) {
+			return "", false
+		}
+		return notch.RunLost, true
 	case orders.startOutcome != notch.AgentNoAnswer:
 		// The start is not answered yet, was confirmed after the lists were requested, or was
 		// refused, which ends the run.
@@ -286,6 +298,13 @@
 	return "", false
 }
 
+// noteProposedEnd records that the end of a run is proposed that its agent hasn't listed.
+func (s *stepper) noteProposedEnd(ref notch.RunRef, kind notch.RunEndKind) {
+	orders, _ := s.runOrders.Get(ref)
+	orders.proposedEnd = kind
+	s.runOrders = s.runOrders.Set(ref, orders)
+}
+
 // checkLiveRun stops a run that an agent lists as live if the run isn't known or isn't wanted
 // any more. Otherwise it records that the run has started. It reports whether the run was placed on this
 // incarnation of the agent and isn't known to have ended.
@@ -317,7 +336,7 @@
 	switch {
 	case !ok:
 		why = "it was given up or has ended"
-	case r.Life != session.incarnation:
+	case r.Life != session.incarnation && !s.wasAsked(session, ref):
 		why = "it was placed on another incarnation"
 	}
 	return w, t, r, why
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -44,7 +44,10 @@
 	}
 	session = s.granted(session, o.Deadline)
 	session.renewalSentAt = s.now
-	s.sendOrder(a, o)
+	if o.Ack != 0 {
+		session.ackSentAt = s.now
+	}
+	s.callAgent(a, o, s.renewalTimeout(session, o))
 	return session
 }
 
@@ -72,10 +75,12 @@
 }
 
 func (s *stepper) sendOrder(a notch.Agent, o notch.AgentOrder) {
+	s.callAgent(a, o, s.timing.AnswerTimeout)
+}
+
+func (s *stepper) callAgent(a notch.Agent, o notch.AgentOrder, timeout time.Duration) {
 	s.count("agent-calls-"+string(o.Kind), 1)
-	s.out = append(s.out, notch.CallAgent{
-		Agent: a, Order: o, Timeout: o.Wait + s.timing.AnswerTimeout, SendBy: s.leadership.Contact.Add(s.timing.QuorumTimeout),
-	})
+	s.out = append(s.out, notch.CallAgent{Agent: a, Order: o, Timeout: timeout, SendBy: s.leadership.Contact.Add(s.timing.QuorumTimeout)})
 }
 
 // placedHere reports whether this leader placed a run. Another one sends its start only if its agent lacks the run.
@@ -194,6 +199,9 @@
 		s.noteBegun(ref.Task.Flow)
 	}
 	r, ok := s.run(ref)
+	if orders, _ := s.runOrders.Get(ref); ok && r.Life != b.Life && orders.askedOf == b.Life {
+		s.askAnswered(b, orders)
+	}
 	if !ok || r.Life != b.Life {
 		return
 	}
@@ -202,7 +210,7 @@
 	}
 	orders, _ := s.runOrders.Get(ref)
 	orders.startOutcome, orders.startAnsweredAt = b.Answer.Kind, s.now
-	orders.startBroken, orders.startMalformed = b.Answer.Reason == notch.ReasonBroken, b.Answer.Reason == notch.ReasonMalformed
+	orders.confirmedHere = orders.confirmedHere || s.confirmsHere(b)
 	if b.Answer.Kind == notch.AgentOK && orders.atWorkSince == 0 {
 		orders.atWorkSince = s.now
 	}
@@ -225,6 +233,13 @@
 	s.propose(notch.EndRuns{Life: b.Life, Ends: []notch.RunEnd{{Run: ref, Kind: notch.RunNotStarted}}})
 }
 
+// confirmsHere reports whether an answer confirms an order and comes from the incarnation that the order was sent to:
+// the clock of a later one starts anew.
+func (s *stepper) confirmsHere(b notch.AgentAnswered) bool {
+	session, ok := s.session(b.Life.Agent)
+	return ok && session.incarnation == b.Life && b.Answer.Kind == notch.AgentOK && session.lease.ClockMatches(b.Answer.Clock, s.receivedAt(b))
+}
+
 // pauseAfterRefusal is how long an agent that refused a start gets no new runs.
 const pauseAfterRefusal = time.Second
 
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -56,11 +56,14 @@
 	s.putSession(id, session)
 	a, _ := s.agent(id)
 	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(notch.RunLeaseExpired)),
-		notch.IntField("runs", len(abandoned)), notch.TextField("left", strconv.FormatBool(a.Left)))
+		notch.IntField("runs", len(abandoned)), notch.IntField("not-listed", s.countUnlisted(abandoned)),
+		notch.TextField("last-grant", s.age(session.grantedAt)), notch.TextField("last-heard", s.age(session.heardAt)),
+		notch.TextField("left", strconv.FormatBool(a.Left)))
 	slices.SortFunc(abandoned, func(a, b agentRun) int { return compareRunRefs(a.ref, b.ref) })
 	commonCause := sync.OnceValue(func() bool { return s.commonCause(a) })
 	var ends []notch.RunEnd
 	for _, r := range abandoned {
+		s.noteProposedEnd(r.ref, notch.RunLeaseExpired)
 		ends = append(ends, notch.RunEnd{Run: r.ref, Kind: notch.RunLeaseExpired, Suspicion: s.suspicionAfter(session, r, commonCause)})
 	}
 	s.propose(notch.EndRuns{Life: session.incarnation, Ends: ends})
