--- a/flow/orders.go
+++ b/flow/orders.go
@@ -195,6 +195,9 @@
 	}
 	s.sendStarts()
 	ref := b.Order.Run
+	if b.Answer.Kind == notch.AgentOK {
+		s.noteBegun(ref.Task.Flow)
+	}
 	r, ok := s.run(ref)
 	if orders, _ := s.runOrders.Get(ref); ok && r.Life != b.Life && orders.askedOf == b.Life {
 		s.askAnswered(b, orders)
