A run is asked for on one incarnation only, and not if it likely crashed its agent

What callers saw: nothing yet; TestRandomWorkflowsCrashing fails since a run whose end may have been forgotten is asked for. A task that crashes its agents was started on up to 13 of them (BUDGET).

Cause: asking for a run sends its start to the next incarnation of its agent, which crashes as well. Nothing counted: the run was asked for on each further incarnation, and an ask that was confirmed wasn't recorded as the moment from which the run was at work, by which a crash is judged.

Change: no run is asked for on a second incarnation, a confirmed ask counts as at work, and a suspected run isn't asked for if this leader sent its start or other agents were lost under its task.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -230,7 +230,8 @@
 		if !ok || s.isQueued(ref) {
 			continue // sendStarts withdraws a run if its agent has restarted
 		}
-		kind, ended := s.decideMissingRun(session, a, ref, r, b)
+		suspicion := sync.OnceValue(func() notch.Suspicion { return s.suspicionAfter(session, run, commonCause) })
+		kind, ended := s.decideMissingRun(session, a, ref, r, b, suspicion)
 		if !ended {
 			undecided = true
 			continue
@@ -238,7 +239,7 @@
 		s.noteProposedEnd(ref, kind)
 		end := notch.RunEnd{Run: ref, Kind: kind}
 		if r.Life != session.incarnation {
-			end.Suspicion = s.suspicionAfter(session, run, commonCause)
+			end.Suspicion = suspicion()
 		}
 		out = append(out, end)
 		s.logMessage("run given up: its agent doesn't list it", append(runFields(ref, a.ID, string(kind)), s.proofFields(session, ref)...)...)
@@ -253,8 +254,8 @@
 }
 
 // decideMissingRun decides how a run ended that is missing in the lists of an answer. It returns false while the run
-// may still be live or start.
-func (s *stepper) decideMissingRun(session agentSession, a notch.Agent, ref notch.RunRef, r notch.Run, b notch.AgentAnswered) (notch.RunEndKind, bool) {
+// may still be live or start. Suspicion judges the run if its incarnation has ended.
+func (s *stepper) decideMissingRun(session agentSession, a notch.Agent, ref notch.RunRef, r notch.Run, b notch.AgentAnswered, suspicion func() notch.Suspicion) (notch.RunEndKind, bool) {
 	requestedAt := b.SentAt
 	orders, _ := s.runOrders.Get(ref)
 	if orders.proposedEnd != "" {
@@ -262,7 +263,9 @@
 	}
 	if r.Life != session.incarnation && orders.askedOf != session.incarnation {
 		// The agent has seen the new incarnation's token, which is higher, so the run can't start there any more.
-		if s.mayHaveEndedUnseen(session, ref, r, b.Answer.Ends) && s.asksForRun(session, a, ref) {
+		// A run that has likely crashed its agent would crash the next incarnation as well.
+		crashed := suspicion() == notch.SuspicionRaised && s.isSuspect(ref, r)
+		if !crashed && s.mayHaveEndedUnseen(session, ref, r, b.Answer.Ends) && s.asksForRun(session, a, ref) {
 			return "", false
 		}
 		return notch.RunLost, true
--- a/flow/suspicion.go
+++ b/flow/suspicion.go
@@ -66,6 +66,13 @@
 	return !s.lostElsewhere(a, t)
 }
 
+// isSuspect reports whether there is more against a run than that nobody knows what became of it: this leader sent its
+// start, or other agents were lost under its task.
+func (s *stepper) isSuspect(ref notch.RunRef, r notch.Run) bool {
+	t, _ := s.task(ref.Task)
+	return s.placedHere(r) || len(t.Suspects) > 0
+}
+
 // brokenByLoss reports whether the connection of a start ended with its agent, which was lost at the given time and
 // so had received the start. That of a start to an agent that was lost before ends late, if at all.
 func (o runOrders) brokenByLoss(lostAt notch.Time) bool {
--- a/flow/unseenend.go
+++ b/flow/unseenend.go
@@ -24,7 +24,7 @@
 
 // asksForRun sends the start of a run to a later incarnation than the one that it was placed on, or will after the next
 // list: it refuses the start if the run has ended there, and carries it out if it never had it. It returns false if the
-// run can't be asked for.
+// run can't be asked for. Only one incarnation is asked: if that ends, the run may be why.
 func (s *stepper) asksForRun(session agentSession, a notch.Agent, ref notch.RunRef) bool {
 	w, ok := s.workflows.Get(ref.Task.Flow)
 	if !ok {
@@ -37,6 +37,8 @@
 		return true
 	case !s.mayOrder() || !w.MayRun(t) || orders.stopSentAt != 0 || orders.stopAnsweredAt != 0:
 		return false
+	case orders.askedOf != (notch.AgentIncarnation{}) && orders.askedOf != session.incarnation:
+		return false
 	}
 	if orders.askedOf != session.incarnation {
 		orders.askedOf, orders.repeats = session.incarnation, 0
@@ -48,6 +50,10 @@
 func (s *stepper) askAnswered(b notch.AgentAnswered, orders runOrders) {
 	ref := b.Order.Run
 	orders.startOutcome, orders.startAnsweredAt = b.Answer.Kind, s.now
+	if b.Answer.Kind == notch.AgentOK && orders.atWorkSince == 0 {
+		orders.atWorkSince = s.now
+	}
+	orders = orders.withBrokenStart(b, s.receivedAt(b))
 	if b.Answer.Kind == notch.AgentRefused && b.Answer.Reason == notch.ReasonStaleRun {
 		// Most runs end as done, so this is taken for one: if it is wrong, the task counts as done that has failed
 		// or lost its lease. Otherwise it would run again although its end was acknowledged.
