A run that was asked for is stopped before it is given up

What callers would see: two runs of a task at once (TWICE). A run is asked for on the next incarnation of its agent by sending its start there. If three of these weren't answered, or one wasn't and the agent drained or lacked room, the run was given up as lost and placed elsewhere, while each copy could still be carried out by that incarnation, which has seen no stop.

Change: such a run is repeated, stopped and given up like one on the incarnation that it was placed on: after a confirmed stop, if a list that was requested later lacks it.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -280,11 +280,6 @@
 	switch {
 	case orders.startOutcome == notch.AgentOK && !requestedAt.Before(orders.startAnsweredAt):
 		return notch.RunLost, true
-	case r.Life != session.incarnation:
-		if orders.startOutcome == notch.AgentOK || s.asksForRun(session, a, ref) {
-			return "", false
-		}
-		return notch.RunLost, true
 	case orders.startOutcome != notch.AgentNoAnswer:
 		// The start is not answered yet, was confirmed after the lists were requested, or was
 		// refused, which ends the run.
