A run for which a stop was sent isn't asked for

What callers would see: a job that is shown as completed although a task of it never ran (MIXED), or a task that starts before its predecessors were done (ORDER).

Cause: a start that asks for a run and is refused as old tells that the run has ended there, or that a stop of it was carried out. A stop was forgotten when its call ended without an answer, though the next incarnation may have carried it out.

A stop that a former leader sent isn't known; that case remains.

--- a/flow/orders.go
+++ b/flow/orders.go
@@ -110,7 +110,7 @@
 	if !s.mayOrder() || orders.stopSentAt != 0 || orders.stopAnsweredAt != 0 && s.now.Sub(orders.stopAnsweredAt) < s.timing.RetryInterval {
 		return
 	}
-	orders.stopSentAt = s.now
+	orders.stopped, orders.stopSentAt = true, s.now
 	s.runOrders = s.runOrders.Set(ref, orders)
 	session, _ := s.session(a.ID)
 	s.sendOrder(a, notch.AgentOrder{Kind: notch.AgentStop, Token: session.token, Run: ref})
--- a/flow/session.go
+++ b/flow/session.go
@@ -90,6 +90,7 @@
 	brokenSentAt    notch.Time             // when the start was sent, if its connection ended at once; zero: it didn't
 	askedOf         notch.AgentIncarnation // the later incarnation to which the start was sent, as it may have had the run; zero: none
 	proposedEnd     notch.RunEndKind       // how the run was given up, if that isn't committed yet; empty: it wasn't
+	stopped         bool                   // a stop was sent
 	stopSentAt      notch.Time             // zero: no stop is under way
 	stopAnsweredAt  notch.Time             // when a stop was confirmed; zero: none was
 }
--- a/flow/unseenend.go
+++ b/flow/unseenend.go
@@ -35,8 +35,10 @@
 	switch {
 	case orders.askedOf == session.incarnation && orders.startOutcome == "":
 		return true
-	case !s.mayOrder() || !w.MayRun(t) || orders.stopSentAt != 0 || orders.stopAnsweredAt != 0:
+	case !s.mayOrder() || !w.MayRun(t):
 		return false
+	case orders.stopped:
+		return false // the incarnation may have carried out the stop, and refuse the start because of that
 	case orders.askedOf != (notch.AgentIncarnation{}) && orders.askedOf != session.incarnation:
 		return false
 	}
