The next list decides how a run ended that refuses to be asked for

What callers would see: a job that is shown as completed although a task of it has failed (MIXED). A start that asks for a run gets no answer and is carried out late; the run fails; the next start is refused as old. The run counted as done at once, while its end was in the list that the agent sent next.

Change: the run counts as ended unseen once a list lacks it that was requested after the refusal.

Found in review. Script flow-unseen-end-listed fails before. Script flow-unseen-end wanted the end proposed at the refusal; it wants it with the next list now, and none before.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -238,6 +238,10 @@
 		}
 		s.noteProposedEnd(ref, kind)
 		end := notch.RunEnd{Run: ref, Kind: kind}
+		if kind == notch.RunDone {
+			out = append(out, end)
+			continue
+		}
 		if r.Life != session.incarnation {
 			end.Suspicion = suspicion()
 		}
@@ -280,6 +284,8 @@
 	switch {
 	case orders.startOutcome == notch.AgentOK && !requestedAt.Before(orders.startAnsweredAt):
 		return notch.RunLost, true
+	case hasEndedUnseen(session, r, orders, requestedAt):
+		return s.unseenEnd(ref, a.ID), true
 	case orders.startOutcome != notch.AgentNoAnswer:
 		// The start is not answered yet, was confirmed after the lists were requested, or was
 		// refused, which ends the run.
--- a/flow/unseenend.go
+++ b/flow/unseenend.go
@@ -56,19 +56,29 @@
 		orders.atWorkSince = s.now
 	}
 	orders = orders.withBrokenStart(b, s.receivedAt(b))
-	if b.Answer.Kind == notch.AgentRefused && b.Answer.Reason == notch.ReasonStaleRun {
-		// Most runs end as done, so this is taken for one: if it is wrong, the task counts as done that has failed
-		// or lost its lease. Otherwise it would run again although its end was acknowledged.
-		s.logMessage("a run has ended unseen: it counts as done", runFields(ref, b.Life.Agent, string(notch.RunDone))...)
-		s.count("runs-ended-unseen", 1)
-		orders.proposedEnd = notch.RunDone
-		s.propose(notch.EndRuns{Life: b.Life, Ends: []notch.RunEnd{{Run: ref, Kind: notch.RunDone}}})
-	} else if b.Answer.Kind != notch.AgentOK {
+	refusedAsOld := b.Answer.Kind == notch.AgentRefused && b.Answer.Reason == notch.ReasonStaleRun
+	if b.Answer.Kind != notch.AgentOK && !refusedAsOld {
 		orders.startOutcome = notch.AgentNoAnswer // it is asked for again, after the next list
 	}
 	s.runOrders = s.runOrders.Set(ref, orders)
 }
 
+// hasEndedUnseen reports whether a run has ended on a later incarnation than the one that it was placed on, which refused
+// its start because of that and doesn't list the end in lists that were requested later.
+func hasEndedUnseen(session agentSession, r notch.Run, orders runOrders, requestedAt notch.Time) bool {
+	refused := orders.askedOf == session.incarnation && orders.startOutcome == notch.AgentRefused
+	return r.Life != session.incarnation && refused && !requestedAt.Before(orders.startAnsweredAt)
+}
+
+// unseenEnd returns how a run counts that has ended unseen. Most runs end as done, so it is taken for one of those: if it
+// is wrong, the task counts as done that has failed or lost its lease. Otherwise it would run again although its end
+// was acknowledged.
+func (s *stepper) unseenEnd(ref notch.RunRef, agent string) notch.RunEndKind {
+	s.logMessage("a run has ended unseen: it counts as done", runFields(ref, agent, string(notch.RunDone))...)
+	s.count("runs-ended-unseen", 1)
+	return notch.RunDone
+}
+
 // wasAsked reports whether a run was asked for on the incarnation of a session, which therefore may have it.
 func (s *stepper) wasAsked(session agentSession, ref notch.RunRef) bool {
 	orders, _ := s.runOrders.Get(ref)
