A run isn't asked for on an agent that may not take its task

What callers would see: a task that starts on an agent of a pool that its route doesn't name, or without the label that it requires (ROUTE).

Cause: a run is asked for by sending its start to the next incarnation of its agent, which may be of another kind, even at the same address. Only the room was looked at, which isn't known either for an incarnation that hasn't announced itself.

Change: the pool and the label are looked at, after the announcement.

Found in review. Scripts flow-unseen-end-other-kind and -other-pool fail before: the run is asked for.

--- a/flow/unseenend.go
+++ b/flow/unseenend.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"slices"
+
 	notch "tamaracknotch"
 )
 
@@ -41,6 +43,10 @@
 		return false // the incarnation may have carried out the stop, and refuse the start because of that
 	case orders.askedOf != (notch.AgentIncarnation{}) && orders.askedOf != session.incarnation:
 		return false
+	case a.Unannounced:
+		return true // it isn't known yet which tasks it takes
+	case a.Pool != s.poolOf(w).Name || !takesLabel(a, w.Stage(ref.Task.Stage).Label):
+		return false
 	}
 	if orders.askedOf != session.incarnation {
 		orders.askedOf, orders.repeats = session.incarnation, 0
@@ -48,6 +54,11 @@
 	return s.sendsCopy(session, a, ref, orders, "run asked for: its end on the next incarnation may have been forgotten")
 }
 
+// takesLabel reports whether an agent may run tasks that require a label; an empty one is none.
+func takesLabel(a notch.Agent, label string) bool {
+	return label == "" || slices.Contains(a.Labels, label)
+}
+
 // askAnswered handles the answer to a start that was sent to ask for a run.
 func (s *stepper) askAnswered(b notch.AgentAnswered, orders runOrders) {
 	ref := b.Order.Run
--- a/flow/views.go
+++ b/flow/views.go
@@ -301,7 +301,7 @@
 	if v.avoidedBy != nil && v.hasCrashedUnder(i, *v.avoidedBy) {
 		return view, false
 	}
-	if v.stage.Label != "" && !slices.Contains(view.Agent.Labels, v.stage.Label) {
+	if !takesLabel(view.Agent, v.stage.Label) {
 		return view, false
 	}
 	if v.stage.PerAgent > 0 && v.runsByStage[v.stageRef][view.Agent.ID] >= v.stage.PerAgent {
