A cancel stops runs that were asked for at once

What callers would see: a task of a cancelled job that runs on for up to a second more (UNASKED counts stopMs), or whose agent leaves without stopping it.

Cause: a run that was asked for is live on a later incarnation than the one that it was placed on, and stops went to the latter only; it was stopped when a list showed it.

Script flow-asked-run-cancelled fails before: no stop.

--- a/flow/orders.go
+++ b/flow/orders.go
@@ -282,8 +282,8 @@
 	}
 }
 
-// stopPlaced stops a run on the incarnation of the agent on which it was placed, unless that has ended. A run
-// whose start is queued is withdrawn instead.
+// stopPlaced stops a run on the incarnation of the agent on which it was placed, or was asked for, unless that has
+// ended. A run whose start is queued is withdrawn instead.
 func (s *stepper) stopPlaced(task notch.TaskRef, r notch.Run) {
 	ref := notch.RunRef{Task: task, Number: r.Number}
 	if s.isQueued(ref) {
@@ -291,7 +291,8 @@
 		return
 	}
 	a, ok := s.agent(r.Life.Agent)
-	if ok && a.Incarnation() == r.Life {
+	orders, _ := s.runOrders.Get(ref)
+	if ok && (a.Incarnation() == r.Life || a.Incarnation() == orders.askedOf) {
 		s.stopRun(a, ref)
 	}
 }
