A confirmed start is compared with the latest reading of its agent's clock

What callers would see: two runs of a task at once (TWICE): a start that the next incarnation of an agent has confirmed is taken for one of the known incarnation, and its run is given up with the lease of that. Or a task that stays away for 25 s although the known incarnation has confirmed it.

Cause: the reading was compared with the one that gives the highest lower bound. Of a clock that runs 2% slow that is the first one, so the readings that count as the same clock's span 4% of the session's age, 8 s after 200 s. And a reading counted as taken when the leader handled it: while that is behind, no confirmed start matches.

Change: the latest reading is compared, and readings count from their arrival.

Found in review. TestClockOfAnotherIncarnation fails before: a clock that is 1 s or 4 s ahead matches. Clocks that start from zero don't come as close to each other.

--- a/flow/orders.go
+++ b/flow/orders.go
@@ -153,7 +153,7 @@
 	}
 	session.heardAt = s.receivedAt(b)
 	if listsOf(session.incarnation, b) && b.Answer.Clock != 0 {
-		session.lease = session.lease.WithClock(b.Answer.Clock, s.now)
+		session.lease = session.lease.WithClock(b.Answer.Clock, session.heardAt)
 	}
 	if b.Order.Kind != notch.AgentRenew { // renewalAnswered puts it back
 		s.putSession(b.Life.Agent, session)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -62,7 +62,8 @@
 
 // AgentLease records what one leader has learned about an agent's clock and its lease.
 type AgentLease struct {
-	clock           AgentClock
+	clock           AgentClock // the reading that gives the highest lower bound
+	latest          AgentClock // the latest reading
 	grantedUntil    int64      // latest deadline sent, by the agent's clock in ms; 0: none
 	formerLeasesEnd notch.Time // the leases that former leaders granted end by then
 
@@ -92,6 +93,7 @@
 	if !l.clock.Known() || reading > l.clock.LowerBound(receivedAt) {
 		l.clock = NewAgentClock(reading, receivedAt)
 	}
+	l.latest = NewAgentClock(reading, receivedAt)
 	return l
 }
 
@@ -101,7 +103,7 @@
 // ClockMatches reports whether a reading in ms that was received at the given time is one of the agent's clock, as far
 // as that is known.
 func (l AgentLease) ClockMatches(reading int64, receivedAt notch.Time) bool {
-	return l.clock.Matches(reading, receivedAt)
+	return l.latest.Matches(reading, receivedAt)
 }
 
 // Deadline returns the agent's time in ms at which a lease of at most d from now ends, or 0 if its
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -58,3 +58,19 @@
 		}
 	})
 }
+
+// TestClockOfAnotherIncarnation guards against a run that is taken for one of the known incarnation of an agent because
+// the clock of the next one reads about the same: the readings of a slow clock that count for its lease grow old.
+func TestClockOfAnotherIncarnation(t *testing.T) {
+	clock := func(at notch.Time) int64 { return int64(float64(at) * (1 - MaxClockDrift) / float64(time.Millisecond)) }
+	l, now := New(0), notch.Time(time.Second)
+	for range 300 {
+		l = l.WithClock(clock(now), now)
+		now = now.Add(time.Second)
+	}
+	for ahead, want := range map[time.Duration]bool{0: true, -time.Second: false, time.Second: false, 4 * time.Second: false} {
+		if got := l.ClockMatches(clock(now)+ahead.Milliseconds(), now); got != want {
+			t.Errorf("a clock that is %v ahead matches: got %v, want %v", ahead, got, want)
+		}
+	}
+}
