Agents that fall silent don't use up the tokens of a term

What callers would see: after about a million silences in one term, no agent takes orders any more. A term has 2^20 tokens. After them, in an odd term, they start from the lowest again, which agents refuse as a former leader's, and in an even one they are of the next term, so that answers are ignored and the next leader is refused.

Cause: the token rises whenever an agent falls silent, not only when one restarts. With 1,800 agents and one lost renewal in a hundred that takes about 16 hours by reckoning.

Change: half of the tokens are left for restarts; a silent agent keeps its token beyond that.

Found in review.

--- a/flow/contact.go
+++ b/flow/contact.go
@@ -10,10 +10,17 @@
 // Timing.RetryInterval.
 const maxBackoff = 6
 
+// maxTokensForSilence limits the tokens of one term that are given out because agents fall silent. The others are left for
+// agents that restart, which they do less often.
+const maxTokensForSilence = 1 << (incarnationBits - 1)
+
 // fencedOff returns the session of an agent that has fallen silent, with a token that is higher than those of all orders
 // that were sent to it. If the agent restarts, the first order with it shuts out those that are late, also before the
 // next incarnation is known.
 func (s *stepper) fencedOff(session agentSession) agentSession {
+	if s.incarnations >= maxTokensForSilence {
+		return session
+	}
 	s.incarnations++
 	session.token = s.token()
 	return session
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -105,7 +105,7 @@
 
 	// Known to the leader only:
 	leadership           notch.Leadership
-	incarnations         uint64                                      // number of agent incarnations met in this term
+	incarnations         uint64                                      // number of agent incarnations met in this term, and of those that fell silent
 	fencedTerm           uint64                                      // term in which an agent refused an order because of a later leader's token
 	sessions             *immutable.SortedMap[string, *agentSession] // by agent
 	losses               []agentLoss                                 // of the last seconds; never modified in place
