A slow agent isn't lost while a start may be late

Cause: while a start may be late, seven calls of 250 ms followed a renewal without an answer, then one that may take its time. An agent that answers within 900 ms was renewed 5.55 s after its last renewal, later than the lease of 5 s, and lost all its runs. Found in review.

Change: one call in four may take its time, so that it's renewed after 3.65 s.

Measured: flow-silent-slow-agent (of the review, with three short calls where its trial had two) fails before.

--- a/flow/contact.go
+++ b/flow/contact.go
@@ -30,7 +30,7 @@
 // before that is carried out. One call in fullTimeoutPeriod may take its time: the agent may be slow.
 const (
 	probesPerTimeout  = 4 // in the time in which an order must be answered
-	fullTimeoutPeriod = 8
+	fullTimeoutPeriod = 4
 )
 
 // renewalTimeout returns how long a renewal to the agent of a session may take.
