A task isn't placed elsewhere while its agent lists an earlier run of it

What callers saw: two runs of a task at once. The first list of an agent's next incarnation lacks a run and shows an earlier one of the same task, whose late start it has carried out. The earlier one was stopped, and in the same moment the other was given up and the task placed elsewhere (TestRandomWorkflowsRebornLateStarts on: overlap of 11 ms).

Change: a run isn't given up while the list shows another one of its task as live.

Found in review. Script flow-reborn-earlier-run fails before.

--- a/flow/lists.go
+++ b/flow/lists.go
@@ -230,6 +230,10 @@
 		if !ok || s.isQueued(ref) {
 			continue // sendStarts withdraws a run if its agent has restarted
 		}
+		if listsTask(b.Answer, ref.Task) {
+			undecided = true // the task may not start elsewhere before the other run has been stopped
+			continue
+		}
 		suspicion := sync.OnceValue(func() notch.Suspicion { return s.suspicionAfter(session, run, commonCause) })
 		kind, ended := s.decideMissingRun(session, a, ref, r, b, suspicion)
 		if !ended {
@@ -251,6 +255,11 @@
 	return out, undecided
 }
 
+// listsTask reports whether an answer lists a live run of a task.
+func listsTask(answer notch.AgentAnswer, task notch.TaskRef) bool {
+	return slices.ContainsFunc(answer.Live, func(l notch.LiveRun) bool { return l.Run.Task == task })
+}
+
 // isListed reports whether an answer lists a run, live or ended. Both lists are short.
 func isListed(answer notch.AgentAnswer, ref notch.RunRef) bool {
 	return slices.ContainsFunc(answer.Live, func(l notch.LiveRun) bool { return l.Run == ref }) ||
