A silent agent gets a call that may take its time every third time

What callers would see: all runs of a slow agent end with its lease (AVAIL for long-running tasks). An agent that takes 0.3 to 0.9 s for an answer leaves one renewal unanswered while a start may be late.

Cause: seven calls of 250 ms followed, none of which such an agent can answer, then one of 1 s that grants no lease: the next lease came more than 5 s after the last.

Change: one call in three, not in eight, may take its whole time.

--- a/flow/contact.go
+++ b/flow/contact.go
@@ -27,10 +27,11 @@
 }
 
 // A silent agent is asked in quick succession while a start may be late, as its next incarnation must see the token
-// before that is carried out. One call in fullTimeoutPeriod may take its time: the agent may be slow.
+// before that is carried out. One call in fullTimeoutPeriod may take its time: the agent may be slow, and must answer
+// while its lease lasts.
 const (
 	probesPerTimeout  = 4 // in the time in which an order must be answered
-	fullTimeoutPeriod = 8
+	fullTimeoutPeriod = 3
 )
 
 // renewalTimeout returns how long a renewal to the agent of a session may take.
