A run is asked for in one place

Nothing changes: since a run that was asked for is repeated and stopped like one on the incarnation that it was placed on, asking for it is only the first of these starts.

--- a/flow/unseenend.go
+++ b/flow/unseenend.go
@@ -26,7 +26,8 @@
 
 // asksForRun sends the start of a run to a later incarnation than the one that it was placed on, or will after the next
 // list: it refuses the start if the run has ended there, and carries it out if it never had it. It returns false if the
-// run can't be asked for. Only one incarnation is asked: if that ends, the run may be why.
+// run can't be asked for. Only one incarnation is asked: if that ends, the run may be why. A start that asks and gets no
+// answer is repeated like any other.
 func (s *stepper) asksForRun(session agentSession, a notch.Agent, ref notch.RunRef) bool {
 	w, ok := s.workflows.Get(ref.Task.Flow)
 	if !ok {
@@ -35,22 +36,18 @@
 	t, _ := w.Task(ref.Task)
 	orders, _ := s.runOrders.Get(ref)
 	switch {
-	case orders.askedOf == session.incarnation && orders.startOutcome == "":
-		return true
 	case !s.mayOrder() || !w.MayRun(t):
 		return false
 	case orders.stopped:
 		return false // the incarnation may have carried out the stop, and refuse the start because of that
-	case orders.askedOf != (notch.AgentIncarnation{}) && orders.askedOf != session.incarnation:
+	case orders.askedOf != (notch.AgentIncarnation{}):
 		return false
 	case a.Unannounced:
 		return true // it isn't known yet which tasks it takes
 	case a.Pool != s.poolOf(w).Name || !takesLabel(a, w.Stage(ref.Task.Stage).Label):
 		return false
 	}
-	if orders.askedOf != session.incarnation {
-		orders.askedOf, orders.repeats = session.incarnation, 0
-	}
+	orders.askedOf, orders.repeats = session.incarnation, 0
 	return s.sendsCopy(session, a, ref, orders, "run asked for: its end on the next incarnation may have been forgotten")
 }
 
