A run whose start was refused isn't asked for

Cause: a start that wasn't sent, or was refused, ends its run, which is proposed. Before that is committed the agent's next incarnation is known, its lists lack the run, and it was asked for, which starts it there; then the end is committed and the task placed elsewhere.

Change: such a proposed end is noted as the others are.

Measured: flow-unseen-end-unsent fails before: the start is sent.

--- a/flow/orders.go
+++ b/flow/orders.go
@@ -230,6 +230,7 @@
 		s.repeatNotStarted(ref, orders)
 		return
 	}
+	s.noteProposedEnd(ref, notch.RunNotStarted)
 	s.propose(notch.EndRuns{Life: b.Life, Ends: []notch.RunEnd{{Run: ref, Kind: notch.RunNotStarted}}})
 }
 
