Starving workflows get one throttled task each

Not the order alone: no newer workflow came any more and the same ones waited.

Change: a workflow that has waited 10 s, and of which nothing has run for 1 s, gets one task placed throttled: it counts on a twentieth of its declared processors, and so of its headroom. The flag is committed with the run. Throttled tasks reserve at most half of an agent's memory, keep their twentieth while there is headroom, and take the rest only where a whole task would be placed. A limit is now ordered once a start is confirmed, not with the agent's next list. The leader logs when not even throttled tasks fit.

--- a/command.go
+++ b/command.go
@@ -141,6 +141,9 @@
 	Task  TaskRef
 	After uint64 // number of the task's latest run when the placement was planned
 	Life  AgentIncarnation
+
+	// Throttled is that of the run.
+	Throttled bool `cbor:",omitempty"`
 }
 
 // PlaceRuns commits placements. A placement that no longer fits is skipped. Token
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -173,7 +173,9 @@
 			s.planMemory = planMemory{} // the plan counted on this run
 			continue
 		}
-		w = s.placeRun(w, pl.Task, t, a, notch.Run{Number: t.Latest + 1, Life: pl.Life, Token: c.Token, Since: at}, at)
+		w = s.placeRun(w, pl.Task, t, a, notch.Run{
+			Number: t.Latest + 1, Life: pl.Life, Token: c.Token, Since: at, Throttled: pl.Throttled,
+		}, at)
 	}
 	s.putPlaced(w)
 	s.count("runs-placed", len(c.Placements))
@@ -193,7 +195,7 @@
 	ref := notch.RunRef{Task: task, Number: r.Number}
 	st := &w.Flow.Stages[task.Stage]
 	accepts := s.mayAdd(a, task, st)
-	s.addRun(a.ID, ref, st)
+	s.addRun(ref, r, st)
 	if accepts {
 		s.queueStart(w, ref, r)
 	} else {
--- a/flow/colocate.go
+++ b/flow/colocate.go
@@ -1,9 +1,7 @@
 package flow
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	notch "tamaracknotch"
@@ -58,7 +56,7 @@
 	c = c.withObservation(o, s.now)
 	s.colocations = s.colocations.Set(a.ID, c)
 	load := s.load(a.ID)
-	limits := s.cpuLimits(a, o, s.serviceImages(a.ID, load))
+	limits := s.cpuLimits(a, runRefs(o.opportunistic), s.serviceImages(a.ID, load))
 	for i, l := range o.opportunistic {
 		s.applyCPULimit(a, l, limits[i])
 	}
@@ -139,56 +137,15 @@
 	return append(services, more)
 }
 
-// headroomCost is the headroom that each service image on the agent loses to an opportunistic
-// task without a CPU limit.
-type headroomCost struct {
-	perImage []float64 // in the order of the service images
-	max      float64
-}
-
-func (s *stepper) headroomCostOf(a notch.Agent, services []notch.ServiceImage, l notch.LiveRun) headroomCost {
-	st := s.stageOf(l.Run)
-	out := headroomCost{perImage: make([]float64, len(services))}
-	for i, v := range services {
-		out.perImage[i] = s.colocationModel.InterferenceCoefficient(v.Image, st.Image) * cpuShare(a, st.Size.MilliCPU)
-		out.max = max(out.max, out.perImage[i])
+// runRefs returns the references of live runs.
+func runRefs(live []notch.LiveRun) []notch.RunRef {
+	out := make([]notch.RunRef, len(live))
+	for i, l := range live {
+		out[i] = l.Run
 	}
 	return out
 }
 
-// cpuLimits returns the limit of each opportunistic task. The tasks with the lowest cost get
-// their processors first, as long as every service task has spare headroom.
-func (s *stepper) cpuLimits(a notch.Agent, o observation, services []notch.ServiceImage) []int {
-	limits := make([]int, len(o.opportunistic))
-	order := make([]int, len(o.opportunistic))
-	costs := make([]headroomCost, len(o.opportunistic))
-	for i, l := range o.opportunistic {
-		order[i], costs[i] = i, s.headroomCostOf(a, services, l)
-	}
-	slices.SortStableFunc(order, func(i, k int) int { return cmp.Compare(costs[i].max, costs[k].max) })
-	for _, i := range order {
-		limits[i] = allotHeadroom(services, costs[i])
-	}
-	return limits
-}
-
-// allotHeadroom returns the limit in percent that the spare headroom allows one more task, and
-// subtracts in place what the task takes.
-func allotHeadroom(services []notch.ServiceImage, c headroomCost) int {
-	fraction := 1.0
-	for i, v := range services {
-		fraction = min(fraction, v.SpareHeadroom/max(0.001, c.perImage[i]))
-	}
-	percent := int(fraction * fullLimitPercent)
-	if percent < minLimitPercent {
-		return 0
-	}
-	for i, v := range services {
-		services[i].SpareHeadroom = max(0, v.SpareHeadroom-fraction*c.perImage[i])
-	}
-	return percent
-}
-
 // mergeLoad adds a load in place to the load of the same image.
 func mergeLoad(loads []notch.OpportunisticLoad, more notch.OpportunisticLoad) []notch.OpportunisticLoad {
 	if more.CPUShare <= 0 {
@@ -257,9 +214,16 @@
 
 // stageOf returns the stage of a run, or a zero Stage if the run isn't known to be live.
 func (s *stepper) stageOf(ref notch.RunRef) notch.Stage {
-	if _, ok := s.run(ref); !ok {
-		return notch.Stage{}
+	st, _ := s.liveStage(ref)
+	return st
+}
+
+// liveStage returns the stage of a run and the run, or zero values if the run isn't known to be live.
+func (s *stepper) liveStage(ref notch.RunRef) (notch.Stage, notch.Run) {
+	r, ok := s.run(ref)
+	if !ok {
+		return notch.Stage{}, notch.Run{}
 	}
 	w, _ := s.workflows.Get(ref.Task.Flow)
-	return w.Stage(ref.Task.Stage)
+	return w.Stage(ref.Task.Stage), r
 }
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -115,6 +115,7 @@
 	startWaits           startWaits
 	outcomes             outcomes
 	startsLoggedAt       notch.Time
+	starvationLoggedAt   notch.Time
 	cpuLimitsByRun       *immutable.Map[notch.RunRef, cpuLimit]
 	colocations          *immutable.Map[string, colocationState] // by agent
 	colocationModel      notch.ColocationModel
@@ -170,7 +171,7 @@
 	p.cpuLimitsByRun = immutable.NewMap[notch.RunRef, cpuLimit](runRefHasher{})
 	p.colocations = immutable.NewMap[string, colocationState](nil)
 	p.colocationModel = p.policy.ColocationModel
-	p.placementsProposedAt, p.plannedAt, p.startsLoggedAt, p.incarnations = 0, 0, 0, 0
+	p.placementsProposedAt, p.plannedAt, p.startsLoggedAt, p.starvationLoggedAt, p.incarnations = 0, 0, 0, 0, 0
 	p.startWaits, p.outcomes = startWaits{}, outcomes{}
 	p.planPause, p.planResumesAt, p.planMemory = 0, readyGroupKey{}, planMemory{}
 	return p
@@ -208,6 +209,7 @@
 		s.agentAnnounced(b)
 	case notch.AgentAnswered:
 		s.orderAnswered(b)
+		s.limitStarted(b)
 	case notch.QueryReceived:
 		s.answerQuery(b)
 	case notch.Tick:
--- a/flow/load.go
+++ b/flow/load.go
@@ -12,19 +12,24 @@
 	reserved              notch.Resources // by all runs
 	opportunisticMilliCPU int64           // declared by the opportunistic tasks
 	serviceMilliCPU       int64           // reserved by the service tasks
+	throttledMB           int64           // memory reserved by throttled tasks
 	endedRuns             int             // number of runs that were removed
 }
 
 // agentRun is a run on an agent.
 type agentRun struct {
-	ref     notch.RunRef
-	stage   *notch.Stage // never modified
-	addedAt notch.Time   // when this replica applied the placement
+	ref       notch.RunRef
+	stage     *notch.Stage // never modified; of a throttled run, with the processors that it counts on
+	throttled bool
+	addedAt   notch.Time // when this replica applied the placement
 }
 
 // withRun returns l with one more run.
 func (l agentLoad) withRun(r agentRun) agentLoad {
 	l.runs = append(slices.Clip(l.runs), r)
+	if r.throttled {
+		l.throttledMB += r.stage.Size.MemoryMB
+	}
 	return l.plus(r.stage, 1)
 }
 
@@ -34,10 +39,13 @@
 	if i < 0 {
 		return l
 	}
-	st := l.runs[i].stage
+	r := l.runs[i]
 	l.runs = slices.Concat(l.runs[:i], l.runs[i+1:])
 	l.endedRuns++
-	return l.plus(st, -1)
+	if r.throttled {
+		l.throttledMB -= r.stage.Size.MemoryMB
+	}
+	return l.plus(r.stage, -1)
 }
 
 // plus returns l with the amounts that a task of the stage occupies added, or subtracted if sign is -1.
@@ -81,6 +89,17 @@
 	return slices.ContainsFunc(l.runs, func(r agentRun) bool { return r.stage.Target > 0 })
 }
 
+// opportunisticRuns returns the runs of opportunistic tasks.
+func (l agentLoad) opportunisticRuns() []notch.RunRef {
+	var out []notch.RunRef
+	for _, r := range l.runs {
+		if r.stage.Fills {
+			out = append(out, r.ref)
+		}
+	}
+	return out
+}
+
 // noLoad is the load of an agent that never had a run.
 var noLoad = &agentLoad{}
 
@@ -92,10 +111,14 @@
 	return noLoad
 }
 
-// addRun records a run on an agent.
-func (s *stepper) addRun(agent string, ref notch.RunRef, st *notch.Stage) {
-	l := s.load(agent).withRun(agentRun{ref: ref, stage: st, addedAt: s.now})
-	s.loads = s.loads.Set(agent, &l)
+// addRun records a run on its agent.
+func (s *stepper) addRun(ref notch.RunRef, r notch.Run, st *notch.Stage) {
+	if r.Throttled {
+		throttled := st.Throttled()
+		st = &throttled
+	}
+	l := s.load(r.Life.Agent).withRun(agentRun{ref: ref, stage: st, throttled: r.Throttled, addedAt: s.now})
+	s.loads = s.loads.Set(r.Life.Agent, &l)
 }
 
 // removeRun removes a run from an agent.
--- a/flow/plan.go
+++ b/flow/plan.go
@@ -102,6 +102,7 @@
 		p.made.Ready += g.tasks
 	}
 	p.placeGroups(ready.groups)
+	p.placeStarving(ready.groups)
 	s.needsPlan = p.made.Incomplete
 	s.planPause = time.Duration(len(ready.groups))*pausePerGroup + time.Duration(ready.examined)*pausePerDueGroup + p.pauseForAgents()
 	s.planMemory = p.remembered()
@@ -201,35 +202,21 @@
 		return
 	}
 	examined := v.examined
-	scores := p.placer.Score(st, v)
-	apart := apartScores{views: v, score: func() notch.AgentScores { return p.placer.Score(st, v) }}
+	scores := p.scoreGroup(st, v)
 	waited := p.now.Sub(g.workflow.At)
 	seed, room := p.seed+uint64(g.ahead), p.roomFor(g)
 	g.eachTask(func(ref notch.TaskRef, t notch.WorkflowTask) bool {
 		if p.heldBack(t) {
 			return true
 		}
-		i := -1
-		if len(t.Suspects) > 0 {
-			i = apart.next(t, waited, seed)
-		}
-		if i < 0 {
-			i = scores.Next(waited, seed)
-		}
-		if i < 0 && v.widen() {
-			scores, apart.scores = p.placer.Score(st, v), nil
-			i = scores.Next(waited, seed)
-		}
+		i := scores.next(t, waited, seed)
 		if i < 0 {
-			v.addShortage(scores)
 			p.made.StagesWithoutAgent++
 			return false
 		}
 		seed++
 		p.placed = append(p.placed, notch.RunPlacement{Task: ref, After: t.Latest, Life: v.assign(i)})
-		v.agents[i].hostsSuspect = v.agents[i].hostsSuspect || len(t.Suspects) > 0
-		scores.Rescore(i)
-		apart.rescore(i)
+		scores.placed(t, i)
 		room--
 		return room > 0
 	})
--- a/flow/shortage.go
+++ b/flow/shortage.go
@@ -13,6 +13,7 @@
 	label         string
 	opportunistic bool
 	image         string        // of opportunistic tasks
+	throttled     bool          // throttled tasks have a limit of their own
 	limited       notch.TaskRef // stage with a limit of runs per agent, the Index is 0; zero: the limit doesn't matter
 }
 
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -45,7 +45,7 @@
 			s.indexWorkflow(nil, w)
 			s.indexSuspects(w)
 			w.EachRun(func(ref notch.TaskRef, _ notch.WorkflowTask, run notch.Run) {
-				s.addRun(run.Life.Agent, notch.RunRef{Task: ref, Number: run.Number}, &w.Flow.Stages[ref.Stage])
+				s.addRun(notch.RunRef{Task: ref, Number: run.Number}, run, &w.Flow.Stages[ref.Stage])
 			})
 		}
 		slices.SortFunc(ended, func(a, b *graph.Workflow) int { return int(a.Ended.Sub(b.Ended)) })
--- a/flow/views.go
+++ b/flow/views.go
@@ -30,6 +30,8 @@
 	examined   int        // number of times that the placer examined an agent
 	withImages int        // number of agents whose images were added to their views
 
+	throttled bool // the tasks of the stage are placed throttled
+
 	apart bool // the placer sees only agents without suspected tasks on probation
 
 	avoidedBy *notch.WorkflowTask // the placer sees only agents that haven't crashed under this task; nil: all
@@ -42,6 +44,7 @@
 	owned        bool             // the view belongs to this plan, which may modify it
 	hasImages    bool             // the view includes the images of its service tasks
 	hostsSuspect bool             // this plan placed a suspected task on it
+	throttledMB  int64            // memory of the throttled tasks that this plan placed on it
 }
 
 // candidates are the agents that have gained something since a plan in which a demand fitted on no
@@ -192,7 +195,7 @@
 // on no agent, going by what this plan and the ones before found out.
 func (v *agentViews) setStage(ref notch.TaskRef, st notch.Stage) bool {
 	v.stageRef, v.stage = ref, st
-	kind := demandKindOf(&st)
+	kind := v.demandKind()
 	lackedAt := max(v.latestShortage(kind, st.Size), v.latestShortage(kind.withoutLabel(), st.Size))
 	v.limitHit = false
 	if st.PerAgent > 0 {
@@ -213,6 +216,13 @@
 	return true
 }
 
+// demandKind returns the kind of demand of the current stage.
+func (v *agentViews) demandKind() demandKind {
+	kind := demandKindOf(&v.stage)
+	kind.throttled = v.throttled
+	return kind
+}
+
 // candidatesSince returns the agents that have gained something since the numbered plan.
 func (v *agentViews) candidatesSince(lackedAt uint64, opportunistic bool) candidates {
 	out := candidates{lackedAt: lackedAt, opportunistic: opportunistic, agents: []int{}}
@@ -298,6 +308,9 @@
 	if v.apart && (a.hostsSuspect || v.s.hasSuspect(a.memory.load)) {
 		return view, false
 	}
+	if v.throttled && !a.mayAddThrottled(v.stage.Size.MemoryMB) {
+		return view, false
+	}
 	if v.avoidedBy != nil && v.hasCrashedUnder(i, *v.avoidedBy) {
 		return view, false
 	}
@@ -336,9 +349,22 @@
 	if v.stage.PerAgent > 0 {
 		v.runsByStage[v.stageRef][view.Agent.ID]++
 	}
+	if v.throttled {
+		v.agents[i].throttledMB += v.stage.Size.MemoryMB
+	}
 	return view.Agent.Incarnation()
 }
 
+// maxThrottledMemory is the share of an agent's memory that throttled tasks may reserve. They run for long, and the
+// memory is kept from tasks that are more urgent.
+const maxThrottledMemory = 0.5
+
+// mayAddThrottled reports whether throttled tasks may reserve more of the agent's memory.
+func (a *viewedAgent) mayAddThrottled(memoryMB int64) bool {
+	reserved := a.memory.load.throttledMB + a.throttledMB + memoryMB
+	return float64(reserved) <= maxThrottledMemory*float64(a.view.Agent.Size.MemoryMB)
+}
+
 // addShortage remembers that one more task of the current stage fits on no agent, unless the
 // agents were refused for another reason than their free resources, their headroom and the stage's
 // limit of runs.
@@ -346,7 +372,7 @@
 	if scores.HasCapacity() {
 		return
 	}
-	kind := demandKindOf(&v.stage)
+	kind := v.demandKind()
 	if v.limitHit {
 		kind = kind.withLimitOf(v.stageRef)
 	}
--- a/graph/graph.go
+++ b/graph/graph.go
@@ -24,6 +24,7 @@
 	unfinished    int                     // number of tasks that are not done
 	waiting       int                     // number of open tasks without a run
 	liveRuns      int                     // number of runs that aren't known to have ended
+	idleSince     notch.Time              // when the last run ended, or the workflow was accepted
 	criticalPaths []time.Duration         // by stage
 	runTimes      []time.Duration         // by stage, of its longest run where that was longer than declared; nil: none was; not in records
 	failedTimes   []time.Duration         // by stage, what the task with the most failed runs lost to them; nil: none failed; not in records
@@ -31,7 +32,7 @@
 
 // New returns a workflow that was accepted at the given time and has no runs yet.
 func New(f notch.Workflow, at notch.Time) *Workflow {
-	w := &Workflow{Flow: &f, At: at, State: notch.WorkflowQueued, criticalPaths: criticalPaths(f.Stages, nil)}
+	w := &Workflow{Flow: &f, At: at, State: notch.WorkflowQueued, idleSince: at, criticalPaths: criticalPaths(f.Stages, nil)}
 	var round []*group // the rounds share them until their tasks change
 	for _, st := range f.Stages {
 		round = append(round, newGroup(st.Count, at))
@@ -61,6 +62,7 @@
 		w.waiting += g.waiting
 		for _, t := range row {
 			w.liveRuns += len(t.Runs)
+			w.idleSince = max(w.idleSince, t.Idle)
 		}
 	}
 	w.groups = groups.List()
@@ -80,6 +82,9 @@
 // LiveRuns returns the number of runs that aren't known to have ended.
 func (w *Workflow) LiveRuns() int { return w.liveRuns }
 
+// IdleSince returns since when none of its tasks has run. It returns false while one runs.
+func (w *Workflow) IdleSince() (notch.Time, bool) { return w.idleSince, w.liveRuns == 0 }
+
 // Starts returns the number of runs that its tasks have had, or 0 once they were dropped.
 func (w *Workflow) Starts() int {
 	n := 0
@@ -186,6 +191,9 @@
 	next.unfinished += changed.unfinished - old.unfinished
 	next.waiting += changed.waiting - old.waiting
 	next.liveRuns += len(t.Runs) - len(old.tasks.Get(ref.Index).Runs)
+	if next.liveRuns == 0 && w.liveRuns > 0 {
+		next.idleSince = at
+	}
 	return next.deriveState(t, at)
 }
 
--- a/graph/graph_test.go
+++ b/graph/graph_test.go
@@ -181,3 +181,41 @@
 		t.Errorf("with a long run: got %v, want %v", got, want)
 	}
 }
+
+// TestIdleSince guards against a workflow that seems idle while a task runs, or for longer than it has been.
+func TestIdleSince(t *testing.T) {
+	w := New(notch.Workflow{ID: "f", Stages: []notch.Stage{{Count: 2}}}, 1)
+	run := func(task int, at notch.Time) {
+		ref := w.TaskRef(0, task)
+		old, _ := w.Task(ref)
+		w = w.WithTask(ref, old.WithRun(notch.Run{Number: old.Latest + 1, Since: at}), at)
+	}
+	end := func(task int, at notch.Time) {
+		ref := w.TaskRef(0, task)
+		old, _ := w.Task(ref)
+		old = old.WithoutRun(old.Latest)
+		old.Idle = at
+		w = w.WithTask(ref, old, at)
+	}
+	steps := []struct {
+		name string
+		do   func()
+		want notch.Time
+		idle bool
+	}{
+		{"accepted", func() {}, 1, true},
+		{"one runs", func() { run(0, 2) }, 1, false},
+		{"both run", func() { run(1, 3) }, 1, false},
+		{"one has ended", func() { end(0, 4) }, 1, false},
+		{"both have ended", func() { end(1, 5) }, 5, true},
+	}
+	for _, s := range steps {
+		s.do()
+		for name, v := range map[string]*Workflow{"": w, ", restored": Restore(w.Record())} {
+			since, idle := v.IdleSince()
+			if idle != s.idle || idle && since != s.want {
+				t.Errorf("%s%s: got idle %t since %d, want %t since %d", s.name, name, idle, since, s.idle, s.want)
+			}
+		}
+	}
+}
--- a/workflow.go
+++ b/workflow.go
@@ -53,6 +53,15 @@
 	return r
 }
 
+// ThrottledPercent is the share of the declared processors that a throttled opportunistic run counts on.
+const ThrottledPercent = 5
+
+// Throttled returns an opportunistic stage with the processors that its throttled runs count on.
+func (s Stage) Throttled() Stage {
+	s.Size.MilliCPU = s.Size.MilliCPU * ThrottledPercent / 100
+	return s
+}
+
 // TaskRef identifies one task of a workflow.
 type TaskRef struct {
 	Flow  string
@@ -107,6 +116,9 @@
 	Life   AgentIncarnation
 	Token  uint64 // fencing token of the leader that placed it
 	Since  Time   // when the placement was committed, by the clock of the leader that proposed it
+
+	// Throttled is true for an opportunistic run that counts on ThrottledPercent of its declared processors only.
+	Throttled bool `cbor:",omitempty"`
 }
 
 // RunEndKind is the way in which a run ended.
