A slow answer confirms a start as well

Cause: the clock in an answer was taken for that of another incarnation if the answer took over 0.1 s, so the run of an agent that was lost before its next list waited for 25 s, also a long-running one, which must run again within seconds (LOST). Found in review.

Change: the reading must lie between what the clock reads when the order was sent and when the answer arrived.

Measured: flow-lasting-confirmed-late (of the review, with times of sending) fails before.

--- a/flow/orders.go
+++ b/flow/orders.go
@@ -238,7 +238,7 @@
 // the clock of a later one starts anew.
 func (s *stepper) confirmsHere(b notch.AgentAnswered) bool {
 	session, ok := s.session(b.Life.Agent)
-	return ok && session.incarnation == b.Life && b.Answer.Kind == notch.AgentOK && session.lease.ClockMatches(b.Answer.Clock, s.receivedAt(b))
+	return ok && session.incarnation == b.Life && b.Answer.Kind == notch.AgentOK && session.lease.ClockMatches(b.Answer.Clock, cmp.Or(b.SentAt, s.receivedAt(b)), s.receivedAt(b))
 }
 
 // pauseAfterRefusal is how long an agent that refused a start gets no new runs.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -38,20 +38,18 @@
 	return c.reading + int64(float64(now.Sub(c.readAt))*(1-MaxClockDrift)/float64(time.Millisecond))
 }
 
-// answerDelay limits how long an answer from an agent mostly takes, and how old the latest reading of its clock was
-// when it arrived.
-const answerDelay = 100 * time.Millisecond
+// readingAge limits how old the latest reading of an agent's clock was when it arrived.
+const readingAge = 100 * time.Millisecond
 
-// Matches reports whether a reading in ms that was received at the given time is one of the same clock. A reading that
-// took unusually long doesn't match.
-func (c AgentClock) Matches(reading int64, receivedAt notch.Time) bool {
+// Matches reports whether a reading in ms that was taken between the given times is one of the same clock.
+func (c AgentClock) Matches(reading int64, from, to notch.Time) bool {
 	if !c.Known() || reading == 0 {
 		return false
 	}
-	elapsed := float64(receivedAt.Sub(c.readAt)) / float64(time.Millisecond)
-	lowest, highest := elapsed*(1-MaxClockDrift), elapsed*(1+MaxClockDrift)
-	since, delay := float64(reading-c.reading), float64(answerDelay/time.Millisecond)
-	return lowest-delay <= since && since <= highest+delay
+	lowest := float64(from.Sub(c.readAt)) * (1 - MaxClockDrift)
+	highest := float64(to.Sub(c.readAt)) * (1 + MaxClockDrift)
+	since := float64(reading-c.reading) * float64(time.Millisecond)
+	return lowest-float64(readingAge) <= since && since <= highest+float64(readingAge)
 }
 
 // MaxDuration returns the longest time by the local clock that a lease of d by an agent's clock
@@ -100,10 +98,10 @@
 // ClockKnown reports whether the agent's clock has been read.
 func (l AgentLease) ClockKnown() bool { return l.clock.Known() }
 
-// ClockMatches reports whether a reading in ms that was received at the given time is one of the agent's clock, as far
-// as that is known.
-func (l AgentLease) ClockMatches(reading int64, receivedAt notch.Time) bool {
-	return l.latest.Matches(reading, receivedAt)
+// ClockMatches reports whether a reading in ms that was taken between the given times is one of the agent's clock, as
+// far as that is known.
+func (l AgentLease) ClockMatches(reading int64, from, to notch.Time) bool {
+	return l.latest.Matches(reading, from, to)
 }
 
 // Deadline returns the agent's time in ms at which a lease of at most d from now ends, or 0 if its
