--- a/front/accept_test.go
+++ b/front/accept_test.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -51,16 +50,7 @@
 	case <-time.After(20 * idlePoll):
 	}
 	release()
-	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("got %v, want an answer", err)
-	}
-	if got, want := res.StatusCode, http.StatusNoContent; got != want {
-		t.Errorf("got status %d, want %d", got, want)
-	}
-	if err := <-ended; err != nil {
-		t.Errorf("shutdown: got %v", err)
-	}
+	checkAnsweredAndShutDown(t, conn, ended)
 	if _, err := net.Dial("tcp", l.Addr().String()); err == nil {
 		t.Error("the server accepts connections after its shutdown")
 	}
--- a/front/drain_test.go
+++ b/front/drain_test.go
@@ -52,3 +52,18 @@
 	conn.SetReadDeadline(time.Now().Add(stopTimeout))
 	return conn
 }
+
+// checkAnsweredAndShutDown checks that the request on a connection is answered, and that the shutdown ends without an error.
+func checkAnsweredAndShutDown(t *testing.T, conn net.Conn, ended <-chan error) {
+	t.Helper()
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("got %v, want an answer", err)
+	}
+	if got, want := res.StatusCode, http.StatusNoContent; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("shutdown: got %v", err)
+	}
+}
--- a/front/idle_test.go
+++ b/front/idle_test.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -69,16 +68,7 @@
 					close(c)
 				}
 			}
-			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if err != nil {
-				t.Fatalf("got %v, want an answer", err)
-			}
-			if got, want := res.StatusCode, http.StatusNoContent; got != want {
-				t.Errorf("got status %d, want %d", got, want)
-			}
-			if err := <-ended; err != nil {
-				t.Errorf("shutdown: got %v", err)
-			}
+			checkAnsweredAndShutDown(t, conn, ended)
 		})
 	}
 }
