A busy control loop logs what it does; lists without news are counted

The log line "work of the control loop" has number, kind and time, answers of agents by their order; agent-lists-without-ends counts the lists that told of no end.

--- a/engine/meter.go
+++ b/engine/meter.go
@@ -13,6 +13,8 @@
 	behindThreshold = 200 * time.Millisecond // wait of the oldest event at which the loop counts as behind
 	longPlan        = 50 * time.Millisecond
 	reportInterval  = time.Second // between reports, and least time between log messages of one sort
+	workLogInterval = 5 * time.Second
+	busyLoop        = 0.1 // share of the time from which on a loop logs what it does
 )
 
 // The names of the metrics of the control loop.
@@ -41,6 +43,7 @@
 	interval, intervalBefore meterInterval // the present one and the one before, which the last report ended
 	behindLoggedAt           notch.Time
 	planLoggedAt             notch.Time
+	workLoggedAt             notch.Time
 }
 
 // meterInterval is the time between two reports.
@@ -136,12 +139,27 @@
 
 // report passes what was measured since the last report to the sink and begins an interval.
 func (m *loopMeter) report(now notch.Time) {
+	m.logWork(now)
 	m.kinds.report(m.sink)
 	m.sink.Count(metricBusy, m.interval.busy.Microseconds())
 	m.intervalBefore = m.interval
 	m.interval = meterInterval{startedAt: now, usage: m.readUsage()}
 }
 
+// logWork logs, from time to time, what a busy loop did since the last report and what the process used meanwhile.
+func (m *loopMeter) logWork(now notch.Time) {
+	window := now.Sub(m.interval.startedAt)
+	if now.Sub(m.workLoggedAt) < workLogInterval || m.interval.busy.Seconds() < busyLoop*window.Seconds() {
+		return
+	}
+	m.workLoggedAt = now
+	used := m.readUsage().Since(m.interval.usage)
+	m.sink.Log(notch.LogMessage{Text: "work of the control loop", Fields: []notch.LogField{
+		notch.DurationField("window", window), shareField("loop-share", m.interval.busy, window), shareField("cores", used.Processor, window),
+		fractionField("gc-share", used.GCShare()), notch.TextField("work", m.kinds.work()),
+	}})
+}
+
 // logBehind logs, at most once in each interval, how far the loop is behind, and what took the
 // time since the start of the interval before.
 func (m *loopMeter) logBehind(now notch.Time, queued int, wait time.Duration) {
--- a/engine/meter_test.go
+++ b/engine/meter_test.go
@@ -48,7 +48,8 @@
 	s.now = s.now.Add(d)
 }
 
-var meterEvents = map[string]notch.Body{"Tick": notch.Tick{}, "Flush": notch.Flush{}, "AgentAnswered": notch.AgentAnswered{}}
+var meterEvents = map[string]notch.Body{"Tick": notch.Tick{}, "Flush": notch.Flush{}, "AgentAnswered": notch.AgentAnswered{},
+	"AgentAnsweredStart": notch.AgentAnswered{Order: notch.AgentOrder{Kind: notch.AgentStart}}}
 
 var meterMessages = map[string]notch.Message{"AppendReply": notch.AppendReply{}, "VoteRequest": notch.VoteRequest{}}
 
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -50,6 +50,10 @@
 		s.needsPlan = true
 	}
 	ends, upTo := s.newEnds(session, b.Answer.Ends)
+	s.count("agent-lists", 1)
+	if len(ends) == 0 {
+		s.count("agent-lists-without-ends", 1)
+	}
 	s.logLapsedRuns(session, ends, b.Answer.Clock)
 	session.unanswered, session.lastAnsweredAt = 0, s.now
 	session.forgottenUpTo = max(session.forgottenUpTo, b.Order.Ack)
