Under overload the latest workflows begin, not the longest

Cause: while more starts are asked for than can be sent, workflows that haven't begun were taken by the time that they have left. That is mostly their declared length, as the objective is a multiple of it, and long workflows have more stages and tasks. So the ones that cost the most starts began first, and declared times are up to ten times off.

Change: their age decides, the latest first; of equally late ones, still the one with more slack.

The case "a later workflow, before one that is long" of TestOrder fails before.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -110,7 +110,8 @@
 // TestOrder guards against tasks that wait behind less urgent ones: the interrupted tasks of a service
 // behind first starts, long-running tasks behind those of newer workflows, or, in a full pool, short tasks
 // behind long-running ones that take all processors that become free (SHORT). Under overload, it guards
-// against starts for workflows that are about to miss their objective, so that all miss it a little.
+// against starts for workflows that are about to miss their objective, so that all miss it a little, and for long workflows only,
+// which take the most starts.
 func TestOrder(t *testing.T) {
 	now := notch.Time(time.Hour)
 	base := notch.ReadyTask{Priority: 1, Accepted: now, Due: now.Add(5 * time.Second), Remaining: time.Second, Left: 1}
@@ -161,6 +162,9 @@
 			with(func(r *notch.ReadyTask) { r.Accepted, r.Due = now.Add(-time.Minute), now.Add(-50*time.Second) })},
 		{"overloaded: a workflow that has begun, before one with less slack", overloaded(base, true), overloaded(tight, false)},
 		{"overloaded: a workflow with more slack", overloaded(base, false), overloaded(tight, false)},
+		{"overloaded: a later workflow, before one that is long and so has more slack", overloaded(with(func(r *notch.ReadyTask) {
+			r.Due = now.Add(2 * time.Second)
+		}), false), overloaded(with(func(r *notch.ReadyTask) { r.Accepted, r.Due = now.Add(-time.Second/2), now.Add(20*time.Second) }), false)},
 		{"overloaded: of those that have begun, the one with less slack", overloaded(tight, true), overloaded(base, true)},
 		{"overloaded: one that can still meet its objective, before one that has begun and can't", overloaded(base, false), overloaded(late, true)},
 		{"overloaded: a late one of which a few tasks are left, before one that hasn't begun", overloaded(nearlyDone, true), overloaded(base, false)},
--- a/assign/order.go
+++ b/assign/order.go
@@ -17,7 +17,8 @@
 //
 // While more starts are asked for than can be sent, the least slack would go to the workflows that are
 // about to miss their objective: all would miss it a little. Instead, what has begun is completed first,
-// as the starts spent on it are lost otherwise, and then those begin that have the most time left. Those
+// as the starts spent on it are lost otherwise, and then the latest ones begin. Their age counts and not the time
+// that they have left, which grows with their length: the longest ones take the most starts. Those
 // that have missed their objective wait in the order of their age.
 type BySlack struct{}
 
@@ -44,13 +45,9 @@
 func (BySlack) Rank(t notch.ReadyTask, now notch.Time) int64 {
 	const maxSlack = int64(1)<<slackBits - 1
 	u, slack := urgencyOf(t, now)
-	postponed := t.Overloaded && !t.Begun && u == meetsObjective
-	if postponed {
-		slack = -slack
-	}
 	rank := min(max(slack.Milliseconds()+maxSlack/2, 0), maxSlack)
-	if postponed {
-		rank += 1 << slackBits
+	if t.Overloaded && !t.Begun && u == meetsObjective {
+		rank = 1<<slackBits + postponedRank(now.Sub(t.Accepted), slack)
 	}
 	rank += int64(u) << (slackBits + begunBits)
 	rank += int64(min(max(t.Priority, 0), 1<<priorityBits-1)) << (slackBits + begunBits + urgencyBits)
@@ -60,6 +57,18 @@
 	return rank
 }
 
+// The fields of the rank of a task whose workflow waits for those that have begun: its age and its slack in ms.
+const (
+	postponedSlackBits = 18
+	postponedAgeBits   = slackBits - postponedSlackBits
+)
+
+// postponedRank ranks the tasks of workflows that haven't begun: the latest first, and of equally late ones those with more slack.
+func postponedRank(age, slack time.Duration) int64 {
+	const maxAge, maxSlack = int64(1)<<postponedAgeBits - 1, int64(1)<<postponedSlackBits - 1
+	return min(max(age.Milliseconds(), 0), maxAge)<<postponedSlackBits + maxSlack - min(max(slack.Milliseconds(), 0), maxSlack)
+}
+
 // nearlyDone is the share of a workflow's tasks up to which the few starts that are left are worth more for a late one
 // than as many of a whole one that would be in time.
 const nearlyDone = 0.1
