A leader of many agents asks each of them less often

Cause: work that grows with the number of agents and not with what starts, the same class of fault as a heartbeat storm. Each agent was asked for its lists once a second, and each 0.6 s beside service tasks, whether it had news or not.

Change: agents may delay an answer without news for up to 2 s, so that all of them together give some 900 a second; 1 s beside opportunistic tasks, and 0.6 s as before while a service task exceeds its target. Up to 900 agents (540 with tasks of both kinds) nothing changes. An agent on a longer poll doesn't count as silent for that, and estimates of headroom are used for 3 s. As silence shows later on such a poll, an agent that leaves a start unanswered gets no new runs for a second.

--- a/colocation/headroom.go
+++ b/colocation/headroom.go
@@ -24,7 +24,7 @@
 	priorHeadroomStdDev = 1.0  // standard deviation of priorHeadroom
 	priorSlopeStdDev    = 0.4  // standard deviation of the initial slope, which is 0, per second
 	slopeProcessNoise   = 0.04 // growth of slopeVariance per second without a measurement
-	maxPredictionTime   = 2 * time.Second
+	maxPredictionTime   = 3 * time.Second // an agent tells of its tasks each 2 s or more often
 )
 
 // priorState returns the estimate for a group without measurements.
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -27,10 +27,12 @@
 	Lease             time.Duration // of an agent, from the sending of an order
 	MaxLease          time.Duration // longest lease that an agent takes; it shortens longer ones
 	LongPoll          time.Duration // how long an agent may delay its answer to a lease renewal while no run ends
-	ColocatedLongPoll time.Duration // the same, while opportunistic tasks are colocated with service tasks
+	MaxLongPoll       time.Duration // the same, of a leader with many agents
+	ColocatedLongPoll time.Duration // the same, while opportunistic tasks are colocated with service tasks; with many agents, at most LongPoll
+	MaxIdleLists      int           // lists without news that a leader wants from all agents in a second; with many agents, polls get longer
 	AnswerTimeout     time.Duration // of an order, in addition to the long poll
 	RetryInterval     time.Duration // between orders to an agent that doesn't answer
-	MaxSilence        time.Duration // since the last answer, after which an agent gets no new runs
+	MaxSilence        time.Duration // since the last answer to a poll of up to LongPoll, after which an agent gets no new runs
 	QuorumTimeout     time.Duration // since the last answer of a quorum, after which a leader sends no orders
 	ReproposeInterval time.Duration // wait for a commit before a command is proposed again
 	EndedRetention    time.Duration // how long the state of an ended workflow is kept
@@ -42,7 +44,9 @@
 	Lease:             5 * time.Second,
 	MaxLease:          10 * time.Second,
 	LongPoll:          time.Second,
+	MaxLongPoll:       2 * time.Second,
 	ColocatedLongPoll: 600 * time.Millisecond,
+	MaxIdleLists:      900,
 	AnswerTimeout:     time.Second,
 	RetryInterval:     500 * time.Millisecond,
 	MaxSilence:        2500 * time.Millisecond,
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -43,7 +43,7 @@
 		o.Wait = s.longPoll(a.ID, session)
 	}
 	session = s.granted(session, o.Deadline)
-	session.renewalSentAt = s.now
+	session.renewalSentAt, session.pollWait = s.now, o.Wait
 	if o.Ack != 0 {
 		session.ackSentAt = s.now
 	}
@@ -63,15 +63,27 @@
 // the run may start elsewhere takes up to three lists.
 const missingRunPoll = 100 * time.Millisecond
 
-// longPoll returns how long an agent may delay its answer while no run ends.
+// longPoll returns how long an agent may delay its answer while no run ends. The more agents there are, the longer, as
+// each list costs the leader as much as a start.
 func (s *stepper) longPoll(id string, session agentSession) time.Duration {
 	if session.missesRuns {
 		return missingRunPoll
 	}
-	if colocated, ok := s.colocations.Get(id); ok && colocated.bothKinds {
+	affordable := time.Duration(s.sessions.Len()) * time.Second / time.Duration(s.timing.MaxIdleLists)
+	colocated, _ := s.colocations.Get(id)
+	switch {
+	case colocated.bothKinds && colocated.overTargetSince != 0:
 		return s.timing.ColocatedLongPoll
+	case colocated.bothKinds:
+		return min(max(affordable, s.timing.ColocatedLongPoll), s.timing.LongPoll)
 	}
-	return s.timing.LongPoll
+	return min(max(affordable, s.timing.LongPoll), s.timing.MaxLongPoll)
+}
+
+// maxSilence returns how long after its last answer an agent gets new runs. An agent may be silent for as long as its
+// poll lasts.
+func (s *stepper) maxSilence(session agentSession) time.Duration {
+	return s.timing.MaxSilence + max(0, session.pollWait-s.timing.LongPoll)
 }
 
 func (s *stepper) sendOrder(a notch.Agent, o notch.AgentOrder) {
@@ -219,13 +231,16 @@
 	if b.Answer.Kind != notch.AgentOK {
 		s.logMessage("start not confirmed", runFields(ref, b.Life.Agent, string(b.Answer.Kind)+" "+string(b.Answer.Reason))...)
 	}
-	if b.Answer.Kind == notch.AgentOK || b.Answer.Kind == notch.AgentNoAnswer {
+	if b.Answer.Kind == notch.AgentOK {
 		return
 	}
 	if session, ok := s.session(b.Life.Agent); ok {
 		session.noRunsBefore = s.now.Add(pauseAfterRefusal)
 		s.putSession(b.Life.Agent, session)
 	}
+	if b.Answer.Kind == notch.AgentNoAnswer {
+		return
+	}
 	if orders.repeats > 0 {
 		s.repeatNotStarted(ref, orders)
 		return
--- a/flow/polls_test.go
+++ b/flow/polls_test.go
@@ -76,3 +76,60 @@
 		}
 	}
 }
+
+// TestPollsOfManyAgentsAreLonger guards against a leader of many agents that spends its core on lists without news (SHORT), and against
+// long waits of those for which somebody waits.
+func TestPollsOfManyAgentsAreLonger(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		agents   int
+		together bool // opportunistic and service tasks run on the agent
+		over     bool // a service task exceeds its target
+		want     time.Duration
+	}{
+		{"few agents", 400, false, false, time.Second},
+		{"many agents", 1350, false, false, 1500 * time.Millisecond},
+		{"more agents", 3900, false, false, 2 * time.Second},
+		{"few agents, tasks of both kinds", 400, true, false, 600 * time.Millisecond},
+		{"many agents, tasks of both kinds", 720, true, false, 800 * time.Millisecond},
+		{"more agents, tasks of both kinds", 3900, true, false, time.Second},
+		{"more agents, a service task that exceeds its target", 3900, true, true, 600 * time.Millisecond},
+	} {
+		s := newTestLeader(c.agents)
+		p := stepper{Part: s.part(), now: s.now}
+		if c.together {
+			colocated := colocationState{bothKinds: true}
+			if c.over {
+				colocated.overTargetSince = s.now
+			}
+			p.colocations = p.colocations.Set("w0", colocated)
+		}
+		session, _ := p.session("w0")
+		if got := p.longPoll("w0", session); got != c.want {
+			t.Errorf("%s: got a poll of %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestAgentOnLongPollGetsRuns guards against agents that count as silent, and get no work, while their answer is only delayed as allowed.
+func TestAgentOnLongPollGetsRuns(t *testing.T) {
+	for _, c := range []struct {
+		wait, since time.Duration
+		want        bool
+	}{
+		{time.Second, 2400 * time.Millisecond, true},
+		{time.Second, 2600 * time.Millisecond, false},
+		{2 * time.Second, 3400 * time.Millisecond, true},
+		{2 * time.Second, 3600 * time.Millisecond, false},
+	} {
+		s := newTestLeader(1)
+		p := stepper{Part: s.part(), now: s.now}
+		session, _ := p.session("w0")
+		a, _ := p.agent("w0")
+		session.pollWait = c.wait
+		p.now = session.lastAnsweredAt.Add(c.since)
+		if got := p.acceptsRuns(notch.Pool{Name: "p"}, &a, &session); got != c.want {
+			t.Errorf("a poll of %v, %v after the last answer: gets runs is %v, want %v", c.wait, c.since, got, c.want)
+		}
+	}
+}
--- a/flow/views.go
+++ b/flow/views.go
@@ -142,7 +142,7 @@
 	if a.Draining || a.Left || a.Unannounced || session.incarnation != a.Incarnation() || pool.IsLeaving(a.ID, a.Host) {
 		return false
 	}
-	return session.lastAnsweredAt != 0 && session.unanswered == 0 && !session.succeeded && !session.hasStrays && !s.now.Before(session.noRunsBefore) && s.now.Sub(session.lastAnsweredAt) < s.timing.MaxSilence
+	return session.lastAnsweredAt != 0 && session.unanswered == 0 && !session.succeeded && !session.hasStrays && !s.now.Before(session.noRunsBefore) && s.now.Sub(session.lastAnsweredAt) < s.maxSilence(*session)
 }
 
 // agentViewOf returns a view without the images of the tasks.
