Lists and plans look up what they need once

Change: a run that the agent listed in the same place before isn't confirmed again; the stage of a listed run comes from the agent's load; without opportunistic tasks there are no limits; the hash of a group allocates nothing; ticks pass over agents whose renewal isn't due; plans remember the service images of an agent until it lists again or its runs change.

--- a/colocation/filter.go
+++ b/colocation/filter.go
@@ -10,7 +10,6 @@
 package colocation
 
 import (
-	"hash/fnv"
 	"math"
 	"slices"
 
@@ -137,11 +136,13 @@
 
 type groupHasher struct{}
 
-// Hash implements immutable.Hasher.
+// Hash implements immutable.Hasher. It is on the path of every list of an agent, so it allocates nothing.
 func (groupHasher) Hash(t notch.TaskRef) uint32 {
-	h := fnv.New32a()
-	h.Write([]byte(t.Flow))
-	return h.Sum32() ^ uint32(t.Round)<<8 ^ uint32(t.Stage)
+	h := uint64(t.Round)<<32 ^ uint64(t.Stage)
+	for i := range len(t.Flow) {
+		h = h*31 + uint64(t.Flow[i])
+	}
+	return uint32(notch.HashSeed(h))
 }
 
 // Equal implements immutable.Hasher.
--- a/flow/colocate.go
+++ b/flow/colocate.go
@@ -46,7 +46,8 @@
 // controlColocation updates the colocation model from an agent's list of live runs, and limits
 // the opportunistic tasks there so that the service tasks meet their targets.
 func (s *stepper) controlColocation(a notch.Agent, live []notch.LiveRun) {
-	o := s.observe(a, live)
+	load := s.load(a.ID)
+	o := observe(a, live, load, s.now)
 	c, known := s.colocations.Get(a.ID)
 	if len(o.Headrooms) == 0 && len(o.opportunistic) == 0 && !known {
 		return
@@ -55,7 +56,9 @@
 	s.colocationModel = s.colocationModel.WithObservation(o.ColocationObservation)
 	c = c.withObservation(o, s.now)
 	s.colocations = s.colocations.Set(a.ID, c)
-	load := s.load(a.ID)
+	if len(o.opportunistic) == 0 {
+		return
+	}
 	limits := s.cpuLimits(a, runRefs(o.opportunistic), s.serviceImages(a.ID, load))
 	for i, l := range o.opportunistic {
 		s.applyCPULimit(a, l, limits[i])
@@ -78,12 +81,14 @@
 	return c
 }
 
-// observe sorts the live runs of an agent into service tasks and opportunistic tasks.
-func (s *stepper) observe(a notch.Agent, live []notch.LiveRun) observation {
-	out := observation{ColocationObservation: notch.ColocationObservation{At: s.now}}
+// observe sorts the live runs of an agent into service tasks and opportunistic tasks. Runs that have no reservation
+// there are neither.
+func observe(a notch.Agent, live []notch.LiveRun, load *agentLoad, now notch.Time) observation {
+	out := observation{ColocationObservation: notch.ColocationObservation{At: now}}
 	for _, r := range live {
-		st := s.stageOf(r.Run)
+		st := load.stageOf(r.Run)
 		switch {
+		case st == nil:
 		case st.Fills:
 			out.opportunistic = append(out.opportunistic, r)
 			out.Loads = mergeLoad(out.Loads, notch.OpportunisticLoad{Image: st.Image, CPUShare: cpuShare(a, int64(r.Measurement))})
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -57,11 +57,7 @@
 	s.logLapsedRuns(session, ends, b.Answer.Clock)
 	session.unanswered, session.lastAnsweredAt = 0, s.now
 	session.forgottenUpTo = max(session.forgottenUpTo, b.Order.Ack)
-	session.hasStrays = false
-	for _, l := range b.Answer.Live {
-		placed := s.checkLiveRun(session, a, l)
-		session.hasStrays = session.hasStrays || !placed
-	}
+	session = s.checkLiveRuns(session, a, b.Answer.Live)
 	endsOfMissing, missing := s.endsOfMissingRuns(session, a, b)
 	ends, session.missesRuns = append(ends, endsOfMissing...), missing
 	if missing {
@@ -215,10 +211,24 @@
 	return t.Run(ref.Number)
 }
 
+// checkLiveRuns checks the runs that an agent lists as live, and returns its session after that. Most were in its
+// list before, and in the same place.
+func (s *stepper) checkLiveRuns(session agentSession, a notch.Agent, live []notch.LiveRun) agentSession {
+	before := session.live
+	session.live, session.hasStrays = live, false
+	for i, l := range live {
+		listedBefore := i < len(before) && before[i].Run == l.Run
+		if placed := s.checkLiveRun(session, a, l, listedBefore); !placed {
+			session.live, session.hasStrays = nil, true
+		}
+	}
+	return session
+}
+
 // checkLiveRun stops a run that an agent lists as live if the run isn't known or isn't wanted
-// any more. Otherwise it records that the run has started. It reports whether the run was placed on this
-// incarnation of the agent and isn't known to have ended.
-func (s *stepper) checkLiveRun(session agentSession, a notch.Agent, l notch.LiveRun) (placed bool) {
+// any more. Otherwise it records that the run has started, unless the agent listed it before. It reports whether the run was
+// placed on this incarnation of the agent and isn't known to have ended.
+func (s *stepper) checkLiveRun(session agentSession, a notch.Agent, l notch.LiveRun, listedBefore bool) (placed bool) {
 	w, t, r, why := s.liveRun(session, l.Run)
 	if why == "" && !w.MayRun(t) {
 		why = "its task has ended"
@@ -229,8 +239,10 @@
 		s.stopRun(a, l.Run)
 		return placed
 	}
-	s.confirmStart(l.Run)
-	s.noteAtWork(l.Run, r)
+	if !listedBefore {
+		s.confirmStart(l.Run)
+		s.noteAtWork(l.Run, r)
+	}
 	return true
 }
 
--- a/flow/load.go
+++ b/flow/load.go
@@ -75,6 +75,16 @@
 	return n
 }
 
+// stageOf returns the stage of a run, or nil if the run isn't on the agent.
+func (l agentLoad) stageOf(ref notch.RunRef) *notch.Stage {
+	for i := range l.runs {
+		if l.runs[i].ref == ref {
+			return l.runs[i].stage
+		}
+	}
+	return nil
+}
+
 // placedAt returns when this replica applied the placement of a run; zero if it isn't on the agent.
 func (l agentLoad) placedAt(ref notch.RunRef) notch.Time {
 	i := slices.IndexFunc(l.runs, func(r agentRun) bool { return r.ref == ref })
--- a/flow/planmemory.go
+++ b/flow/planmemory.go
@@ -26,8 +26,9 @@
 	agentGains
 	agent      *notch.Agent
 	load       *agentLoad
-	view       *notch.AgentView // without the images of the tasks and the placements of the plan
-	answeredAt notch.Time       // an answer with the headroom of its service tasks; zero: a task was placed since
+	view       *notch.AgentView     // without the images of the tasks and the placements of the plan
+	answeredAt notch.Time           // an answer with the headroom of its service tasks; zero: a task was placed since
+	images     []notch.ServiceImage // of its service tasks, less what its opportunistic tasks take, as of the first plan that asked for them; nil: none did
 }
 
 // agentGains tells when an agent last gained something that a task may have lacked, by the number
@@ -71,7 +72,13 @@
 
 // withoutAnswer returns m after a service task was placed, of which the headroom isn't known yet.
 func (m agentMemory) withoutAnswer() *agentMemory {
-	m.answeredAt = 0
+	m.answeredAt, m.images = 0, nil
+	return &m
+}
+
+// withImages returns m with the service images of the agent. They are never modified.
+func (m agentMemory) withImages(images []notch.ServiceImage) *agentMemory {
+	m.images = images
 	return &m
 }
 
--- a/flow/session.go
+++ b/flow/session.go
@@ -17,25 +17,26 @@
 	startedAt             notch.Time
 	token                 uint64 // sent with every order to this incarnation
 	lease                 lease.AgentLease
-	renewalSentAt         notch.Time    // when the lease renewal that isn't answered yet was sent; zero: none
-	pollWait              time.Duration // how long the agent may delay its answer to the latest renewal
-	lastAnsweredAt        notch.Time    // when the latest lease renewal was answered; zero: none was
-	predecessorAnsweredAt notch.Time    // when the incarnation before it last answered this leader; zero: never
-	nextRenewalAt         notch.Time    // no lease renewal is sent before then
-	unanswered            int           // successive lease renewals that brought no lists of runs and ends
-	succeeded             bool          // an answer showed a later incarnation, which isn't committed yet
-	hasStrays             bool          // the latest lists held a live run that has no reservation here
-	missesRuns            bool          // the latest lists lacked a run that may still be live or start
-	proposedUpTo          uint64        // ends up to this position were proposed
-	committedUpTo         uint64        // ends up to this position are committed
-	forgottenUpTo         uint64        // the agent has answered an acknowledgement of the ends up to this position
-	noRunsBefore          notch.Time    // no new runs are placed before then
-	endsProposedAt        notch.Time    // when the ends of abandoned runs were last proposed
-	grantedAt             notch.Time    // when the last order was sent that grants a lease, to this or an earlier incarnation; by former leaders: when this one was elected
-	ackSentAt             notch.Time    // when the renewal under way was sent, if it acknowledges ends; zero: it doesn't
-	unansweredAckAt       notch.Time    // when the last acknowledgement was sent that this or an earlier incarnation left unanswered; by former leaders: when this one was elected; zero: none
-	lateStartsUntil       notch.Time    // until then, a start may be late of a run that the lists lacked
-	heardAt               notch.Time    // when the agent last answered an order, whichever incarnation of it did
+	renewalSentAt         notch.Time      // when the lease renewal that isn't answered yet was sent; zero: none
+	pollWait              time.Duration   // how long the agent may delay its answer to the latest renewal
+	lastAnsweredAt        notch.Time      // when the latest lease renewal was answered; zero: none was
+	predecessorAnsweredAt notch.Time      // when the incarnation before it last answered this leader; zero: never
+	nextRenewalAt         notch.Time      // no lease renewal is sent before then
+	unanswered            int             // successive lease renewals that brought no lists of runs and ends
+	succeeded             bool            // an answer showed a later incarnation, which isn't committed yet
+	live                  []notch.LiveRun // of the latest lists, if each has a reservation here; never modified
+	hasStrays             bool            // the latest lists held a live run that has no reservation here
+	missesRuns            bool            // the latest lists lacked a run that may still be live or start
+	proposedUpTo          uint64          // ends up to this position were proposed
+	committedUpTo         uint64          // ends up to this position are committed
+	forgottenUpTo         uint64          // the agent has answered an acknowledgement of the ends up to this position
+	noRunsBefore          notch.Time      // no new runs are placed before then
+	endsProposedAt        notch.Time      // when the ends of abandoned runs were last proposed
+	grantedAt             notch.Time      // when the last order was sent that grants a lease, to this or an earlier incarnation; by former leaders: when this one was elected
+	ackSentAt             notch.Time      // when the renewal under way was sent, if it acknowledges ends; zero: it doesn't
+	unansweredAckAt       notch.Time      // when the last acknowledgement was sent that this or an earlier incarnation left unanswered; by former leaders: when this one was elected; zero: none
+	lateStartsUntil       notch.Time      // until then, a start may be late of a run that the lists lacked
+	heardAt               notch.Time      // when the agent last answered an order, whichever incarnation of it did
 }
 
 // agent returns what an agent announced about itself, or false if it isn't known.
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -18,8 +18,8 @@
 	s.logQueuedStarts()
 	for it := s.sessions.Iterator(); !it.Done(); {
 		id, session, _ := it.Next()
-		if session.unanswered == 0 && session.renewalSentAt != 0 {
-			continue // most agents: they answer, and a renewal is under way
+		if session.unanswered == 0 && (session.renewalSentAt != 0 || s.now.Before(session.nextRenewalAt)) {
+			continue // most agents: they answer, and a renewal is under way or isn't due
 		}
 		load := s.load(id)
 		if len(load.runs) > 0 && s.now.Sub(session.endsProposedAt) >= s.timing.ReproposeInterval {
--- a/flow/views.go
+++ b/flow/views.go
@@ -155,17 +155,25 @@
 
 // addImages adds the service images on agent i to its view.
 func (v *agentViews) addImages(i int) {
-	v.agents[i].hasImages = true
-	v.withImages++
-	load := v.agents[i].memory.load
-	if !load.hasServiceTask() {
+	a := &v.agents[i]
+	a.hasImages = true
+	if !a.memory.load.hasServiceTask() {
 		return
 	}
-	view := v.ownView(i)
-	view.ServiceImages = v.s.serviceImages(view.Agent.ID, load)
-	for _, l := range declaredLoads(view.Agent, load.runs) {
-		v.takeHeadroom(view.ServiceImages, l)
+	if a.memory.images == nil {
+		a.memory = a.memory.withImages(v.imagesOf(a.memory))
+		v.withImages++
+	}
+	v.ownView(i).ServiceImages = a.memory.images
+}
+
+// imagesOf returns the service images on an agent, less the headroom that its opportunistic tasks take.
+func (v *agentViews) imagesOf(m *agentMemory) []notch.ServiceImage {
+	out := v.s.serviceImages(m.agent.ID, m.load)
+	for _, l := range declaredLoads(*m.agent, m.load.runs) {
+		v.takeHeadroom(out, l)
 	}
+	return out
 }
 
 // takeHeadroom adds in place what one more load takes from each service image.
@@ -338,6 +346,7 @@
 	switch {
 	case v.stage.Fills:
 		view.OpportunisticMilliCPU += v.stage.Size.MilliCPU
+		view.ServiceImages = slices.Clone(view.ServiceImages) // they may be those of the memory
 		v.takeHeadroom(view.ServiceImages, declaredLoad(view.Agent, &v.stage))
 	case v.stage.Target > 0:
 		view.ServiceMilliCPU += v.stage.Size.MilliCPU
