--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -34,21 +34,16 @@
 
 // Limits bounds the messages and the log.
 type Limits struct {
-	BatchEntries       int           // maximum number of entries in one message
-	BatchBytes         int           // a message with entries of this estimated size gets no further entry
-	FlushLag           int           // a flush sends nothing to a replica with more unsent entries than this
-	SnapshotEntries    int           // least number of entries applied between two snapshots
-	MaxSnapshotEntries int           // most entries between two snapshots
-	SnapshotInterval   time.Duration // least time between two snapshots, up to MaxSnapshotEntries
-	RetainedEntries    int           // entries kept before the snapshot, for followers that lag slightly
-	LearnerLag         int           // a learner that lacks at most this many entries may become a voter
+	BatchEntries    int // maximum number of entries in one message
+	BatchBytes      int // a message with entries of this estimated size gets no further entry
+	FlushLag        int // a flush sends nothing to a replica with more unsent entries than this
+	SnapshotEntries int // number of entries applied between two snapshots
+	RetainedEntries int // entries kept before the snapshot, for followers that lag slightly
+	LearnerLag      int // a learner that lacks at most this many entries may become a voter
 }
 
 // DefaultLimits is for entries of a few hundred bytes to a few kilobytes.
-var DefaultLimits = Limits{
-	BatchEntries: 1024, BatchBytes: 256 << 10, FlushLag: 8192, SnapshotEntries: 4000, MaxSnapshotEntries: 32000,
-	SnapshotInterval: 5 * time.Second, RetainedEntries: 500, LearnerLag: 64,
-}
+var DefaultLimits = Limits{BatchEntries: 1024, BatchBytes: 256 << 10, FlushLag: 8192, SnapshotEntries: 4000, RetainedEntries: 500, LearnerLag: 64}
 
 type role uint8
 
@@ -79,8 +74,6 @@
 	hardState      notch.HardState
 	log            log
 	snapshot       *notch.Snapshot
-	snapshotAt     notch.Time // when it was taken; zero: by an earlier process, or another replica
-	snapshotBefore uint64     // index of the one before
 	tableEdits     []uint64   // indexes of the entries that edit the tables; those up to appliedIndex may be missing; never modified in place
 	configs        []configAt // in ascending order; the last one is in force
 	persistedIndex uint64     // last entry synced on this replica
@@ -361,7 +354,7 @@
 		s.appliedIndex++
 		s.emit(notch.Committed{Entry: s.log.entryAt(s.appliedIndex)})
 	}
-	if s.snapshotDue() {
+	if s.snapshotIndex()+uint64(s.limits.SnapshotEntries) <= s.appliedIndex {
 		s.emitSnapshotDue()
 	}
 }
--- a/fake/random_test.go
+++ b/fake/random_test.go
@@ -32,7 +32,7 @@
 func newControlTest(seed uint64) *controlTest {
 	c := &controlTest{Testbed: New(seed), model: newEditModel(), lastRevisions: map[string]uint64{}}
 	c.Policies.Consensus = consensus.DefaultLimits
-	c.Policies.Consensus.SnapshotEntries, c.Policies.Consensus.SnapshotInterval, c.Policies.Consensus.RetainedEntries = 12, 0, 4
+	c.Policies.Consensus.SnapshotEntries, c.Policies.Consensus.RetainedEntries = 12, 4
 	domains := []string{"north", "south", "west"}
 	for i, name := range []string{"a", "b", "c"} {
 		c.replicas = append(c.replicas, c.AddDaemon(name, domains[i], true, i == 0))
--- a/script/control.go
+++ b/script/control.go
@@ -197,8 +197,7 @@
 
 // snapshots sets the snapshot limits and restarts all daemons with them.
 func (r *scriptState) snapshots(args []string) {
-	l := &r.Policies.Consensus
-	l.SnapshotEntries, l.SnapshotInterval, l.RetainedEntries = r.number(args[0]), 0, r.number(args[1])
+	r.Policies.Consensus.SnapshotEntries, r.Policies.Consensus.RetainedEntries = r.number(args[0]), r.number(args[1])
 	for _, n := range r.Nodes() {
 		r.Kill(n)
 		r.Start(n)
