--- a/flow/lists.go
+++ b/flow/lists.go
@@ -50,7 +50,6 @@
 		s.needsPlan = true
 	}
 	ends, upTo := s.newEnds(session, b.Answer.Ends)
-	s.count("agent-lists", 1)
 	if len(ends) == 0 {
 		s.count("agent-lists-without-ends", 1)
 	}
