--- a/fake/curve_test.go
+++ b/fake/curve_test.go
@@ -116,15 +116,7 @@
 
 // checkWorthShares plays a load and checks what its classes earn.
 func checkWorthShares(t *testing.T, load agentLoad, wanted []float64) {
-	earned := make([]float64, len(load.Routes))
-	for seed := *firstSeed; seed < *firstSeed+curveSeeds; seed++ {
-		l := newLoadTest(t, load, seed)
-		l.start()
-		l.runFor(load.Length + load.Bounds.Finish)
-		for i, r := range load.Routes {
-			earned[i] += worthShare(l.workflowsOf(r.Name)) / curveSeeds
-		}
-	}
+	earned := meanWorthShares(t, load, load.Cores, curveSeeds)
 	for i, r := range load.Routes {
 		t.Logf("share of the worth of %s: %.3f, wanted %.3f", r.Name, earned[i], wanted[i])
 		if got, want := earned[i], wanted[i]; got < want {
