Under overload workflows of larger tasks begin earlier

Cause: a leader that is short of starts began workflows by their age alone, though a start of a task of more processors does more work. Declared processors are exact, run times aren't.

Change: among workflows that haven't begun, twice the processors make up for a second of age.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -165,6 +165,11 @@
 		{"overloaded: a later workflow, before one that is long and so has more slack", overloaded(with(func(r *notch.ReadyTask) {
 			r.Due = now.Add(2 * time.Second)
 		}), false), overloaded(with(func(r *notch.ReadyTask) { r.Accepted, r.Due = now.Add(-time.Second/2), now.Add(20*time.Second) }), false)},
+		{"overloaded: larger tasks, before those of a somewhat later workflow", overloaded(with(func(r *notch.ReadyTask) {
+			r.MilliCPU, r.Accepted = 2000, now.Add(-900*time.Millisecond)
+		}), false), overloaded(with(func(r *notch.ReadyTask) { r.MilliCPU = 1000 }), false)},
+		{"overloaded: a much later workflow, before one of larger tasks", overloaded(with(func(r *notch.ReadyTask) { r.MilliCPU = 1000 }), false),
+			overloaded(with(func(r *notch.ReadyTask) { r.MilliCPU, r.Accepted = 2000, now.Add(-1100*time.Millisecond) }), false)},
 		{"overloaded: of those that have begun, the one with less slack", overloaded(tight, true), overloaded(base, true)},
 		{"overloaded: one that can still meet its objective, before one that has begun and can't", overloaded(base, false), overloaded(late, true)},
 		{"overloaded: a late one of which a few tasks are left, before one that hasn't begun", overloaded(nearlyDone, true), overloaded(base, false)},
--- a/assign/order.go
+++ b/assign/order.go
@@ -2,6 +2,7 @@
 package assign
 
 import (
+	"math"
 	"time"
 
 	notch "tamaracknotch"
@@ -17,9 +18,9 @@
 //
 // While more starts are asked for than can be sent, the least slack would go to the workflows that are
 // about to miss their objective: all would miss it a little. Instead, what has begun is completed first,
-// as the starts spent on it are lost otherwise, and then the latest ones begin. Their age counts and not the time
-// that they have left, which grows with their length: the longest ones take the most starts. Those
-// that have missed their objective wait in the order of their age.
+// as the starts spent on it are lost otherwise, and then the latest ones begin, and those of larger tasks, which do more
+// work for each start. Their age counts and not the time that they have left, which grows with their length: the longest ones take
+// the most starts. Those that have missed their objective wait in the order of their age.
 type BySlack struct{}
 
 // The fields of a rank, most significant first: whether the task was interrupted, the priority of its
@@ -47,7 +48,7 @@
 	u, slack := urgencyOf(t, now)
 	rank := min(max(slack.Milliseconds()+maxSlack/2, 0), maxSlack)
 	if t.Overloaded && !t.Begun && u == meetsObjective {
-		rank = 1<<slackBits + postponedRank(now.Sub(t.Accepted), slack)
+		rank = 1<<slackBits + postponedRank(now.Sub(t.Accepted)+sizeAge(t.MilliCPU), slack)
 	}
 	rank += int64(u) << (slackBits + begunBits)
 	rank += int64(min(max(t.Priority, 0), 1<<priorityBits-1)) << (slackBits + begunBits + urgencyBits)
@@ -63,7 +64,19 @@
 	postponedAgeBits   = slackBits - postponedSlackBits
 )
 
-// postponedRank ranks the tasks of workflows that haven't begun: the latest first, and of equally late ones those with more slack.
+// The age by which tasks of twice the processors go before others, and the size from which on a larger one doesn't count.
+const (
+	ageOfDoubling = time.Second
+	maxDoublings  = 8 // of one processor
+)
+
+// sizeAge returns the age that tasks of a size have beside that of their workflow, which is less for larger ones.
+func sizeAge(milliCPU int64) time.Duration {
+	doublings := math.Log2(float64(max(milliCPU, 1)) / 1000)
+	return time.Duration((maxDoublings - min(doublings, maxDoublings)) * float64(ageOfDoubling))
+}
+
+// postponedRank ranks the tasks of workflows that haven't begun: those of less age first, and of equal age those with more slack.
 func postponedRank(age, slack time.Duration) int64 {
 	const maxAge, maxSlack = int64(1)<<postponedAgeBits - 1, int64(1)<<postponedSlackBits - 1
 	return min(max(age.Milliseconds(), 0), maxAge)<<postponedSlackBits + maxSlack - min(max(slack.Milliseconds(), 0), maxSlack)
--- a/flow/ready.go
+++ b/flow/ready.go
@@ -128,6 +128,6 @@
 	return notch.ReadyTask{
 		Priority: route.Priority, LongRunning: st.Lasts, Interrupted: g.interrupted, Opportunistic: st.Fills, Accepted: w.At,
 		Due:       s.dueAt(w),
-		Remaining: w.CriticalPath(g.group), Begun: w.State != notch.WorkflowQueued, Left: w.UnfinishedShare(), Overloaded: s.startQueue.overloaded(s.now),
+		Remaining: w.CriticalPath(g.group), Begun: w.State != notch.WorkflowQueued, MilliCPU: st.Size.MilliCPU, Left: w.UnfinishedShare(), Overloaded: s.startQueue.overloaded(s.now),
 	}
 }
--- a/policy.go
+++ b/policy.go
@@ -165,6 +165,7 @@
 	Due           Time          // when its workflow must be complete to meet its objective
 	Remaining     time.Duration // declared run time of the longest chain of stages that starts with this task
 	Begun         bool          // a task of its workflow has had a run
+	MilliCPU      int64         // of each of the tasks
 	Left          float64       // share of the tasks of its workflow that are not done
 	Overloaded    bool          // more starts are asked for than the leader can send
 }
