--- a/flow/polls_test.go
+++ b/flow/polls_test.go
@@ -133,3 +133,27 @@
 		}
 	}
 }
+
+// TestUnansweredStartPausesAgent guards against further starts to an agent that leaves one unanswered, until its poll shows its
+// silence, up to 3 s later.
+func TestUnansweredStartPausesAgent(t *testing.T) {
+	for _, c := range []struct {
+		kind notch.AgentAnswerKind
+		want bool // the agent gets runs
+	}{{notch.AgentOK, true}, {notch.AgentNoAnswer, false}} {
+		s := newTestLeader(1)
+		s.submitChain("f", time.Second)
+		s.commit(notch.PlaceRuns{Token: 2, Placements: []notch.RunPlacement{{Task: notch.TaskRef{Flow: "f"}, Life: lifeOf(0, 1)}}})
+		s.answerStartOf(notch.RunRef{Task: notch.TaskRef{Flow: "f"}, Number: 1}, c.kind)
+		p := stepper{Part: s.part(), now: s.now}
+		session, _ := p.session("w0")
+		a, _ := p.agent("w0")
+		if got := p.acceptsRuns(notch.Pool{Name: "p"}, &a, &session); got != c.want {
+			t.Errorf("after the answer %q: gets runs is %v, want %v", c.kind, got, c.want)
+		}
+		p.now = p.now.Add(pauseAfterRefusal)
+		if !p.acceptsRuns(notch.Pool{Name: "p"}, &a, &session) {
+			t.Errorf("after the answer %q and a pause: the agent gets no runs", c.kind)
+		}
+	}
+}
