--- a/flow/orders.go
+++ b/flow/orders.go
@@ -59,33 +59,6 @@
 	return session
 }
 
-// missingRunPoll is how long an agent may delay its answer while one of its runs is missing. Whether
-// the run may start elsewhere takes up to three lists.
-const missingRunPoll = 100 * time.Millisecond
-
-// longPoll returns how long an agent may delay its answer while no run ends. The more agents there are, the longer, as
-// each list costs the leader as much as a start.
-func (s *stepper) longPoll(id string, session agentSession) time.Duration {
-	if session.missesRuns {
-		return missingRunPoll
-	}
-	affordable := time.Duration(s.sessions.Len()) * time.Second / time.Duration(s.timing.MaxIdleLists)
-	colocated, _ := s.colocations.Get(id)
-	switch {
-	case colocated.bothKinds && colocated.overTargetSince != 0:
-		return s.timing.ColocatedLongPoll
-	case colocated.bothKinds:
-		return min(max(affordable, s.timing.ColocatedLongPoll), s.timing.MaxColocatedPoll)
-	}
-	return min(max(affordable, s.timing.LongPoll), s.timing.MaxLongPoll)
-}
-
-// maxSilence returns how long after its last answer an agent gets new runs. An agent may be silent for as long as its
-// poll lasts.
-func (s *stepper) maxSilence(session agentSession) time.Duration {
-	return s.timing.MaxSilence + max(0, session.pollWait-s.timing.LongPoll)
-}
-
 func (s *stepper) sendOrder(a notch.Agent, o notch.AgentOrder) {
 	s.callAgent(a, o, s.timing.AnswerTimeout)
 }
