Leases are longer by what polls are longer

Cause: a lease of 6 s is granted when a poll is sent, so as much less is left of it when the leader is lost as the poll is longer: 4 s instead of 5 s.

Change: with a poll that is longer than a second, the lease is longer by as much, 7 s at most. A new leader waits for the longest lease that the number of agents allowed a former one to grant; up to 900 agents nothing changes. The agents that a replica knows never get fewer, so neither does that bound.

TestNextLeaderWaitsForLongestLease guards the new leader's wait.

--- a/fake/leases_test.go
+++ b/fake/leases_test.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"fmt"
 	"os"
 	"regexp"
 	"testing"
@@ -15,8 +16,17 @@
 // TestRunsOutlastLossOfReplicas guards against leases that end while all replicas are lost for a few seconds: every task in
 // the pool is started again then, the long-running ones first, and for seconds nothing else is (SHORT).
 func TestRunsOutlastLossOfReplicas(t *testing.T) {
+	for _, agents := range []int{600, 1800} { // of many, each is asked less often
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			t.Parallel()
+			testLossOfReplicas(t, agents)
+		})
+	}
+}
+
+func testLossOfReplicas(t *testing.T, agents int) {
 	load := readAgentLoad(t, "testdata/agent-starts-day.yaml")
-	load.Cores, load.Length, load.Lease = 0.45, 8*time.Second, shippedAgentLease(t)
+	load.Cores, load.Length, load.Lease, load.Agents.Count = 0.45, 8*time.Second, shippedAgentLease(t), agents
 	for i := range load.Routes {
 		load.Routes[i].RunTime = time.Minute
 	}
--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -106,7 +106,7 @@
 // formerLeasesEnd returns when all leases have expired that former leaders granted up to the
 // given time.
 func (s *stepper) formerLeasesEnd(at notch.Time) notch.Time {
-	return at.Add(time.Duration(float64(s.timing.Lease)*(1+lease.MaxClockDrift)) + formerLeaderMargin)
+	return at.Add(time.Duration(float64(s.longestLease())*(1+lease.MaxClockDrift)) + formerLeaderMargin)
 }
 
 // incarnationBits is the number of low bits of a token that count the incarnations met in one
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -27,11 +27,14 @@
 		return session
 	}
 	o := notch.AgentOrder{Kind: notch.AgentRenew, Token: session.token}
+	if session.lastAnsweredAt != 0 && session.unanswered == 0 && session.proposedUpTo == session.committedUpTo {
+		o.Wait = s.longPoll(session.incarnation.Agent, session)
+	}
 	if session.unanswered == 0 && !session.succeeded {
 		// Orders that aren't answered may be carried out late. If each one granted a lease, the
 		// leases of an agent that is gone would never expire. If the agent restarts meanwhile, its
 		// next incarnation would take the acknowledgement for one of its own ends.
-		o.Deadline = session.lease.Deadline(s.now, s.timing.Lease)
+		o.Deadline = session.lease.Deadline(s.now, s.leaseFor(o.Wait))
 		// Nothing is acknowledged either while a run is missing: its start may be carried out by the next
 		// incarnation, which must not forget the end of that run.
 		if !session.missesRuns && session.committedUpTo > session.forgottenUpTo {
@@ -39,9 +42,6 @@
 		}
 	}
 	a, _ := s.agent(session.incarnation.Agent)
-	if session.lastAnsweredAt != 0 && session.unanswered == 0 && session.proposedUpTo == session.committedUpTo {
-		o.Wait = s.longPoll(a.ID, session)
-	}
 	session = s.granted(session, o.Deadline)
 	session.renewalSentAt, session.pollWait = s.now, o.Wait
 	if o.Ack != 0 {
--- a/flow/polls.go
+++ b/flow/polls.go
@@ -17,7 +17,7 @@
 	if session.missesRuns {
 		return missingRunPoll
 	}
-	affordable := time.Duration(s.sessions.Len()) * time.Second / time.Duration(s.timing.MaxIdleLists)
+	affordable := s.affordablePoll(s.sessions.Len())
 	colocated, _ := s.colocations.Get(id)
 	switch {
 	case colocated.bothKinds && colocated.overTargetSince != 0:
@@ -28,6 +28,23 @@
 	return min(max(affordable, s.timing.LongPoll), s.timing.MaxLongPoll)
 }
 
+// affordablePoll returns the length of polls with which a number of agents together give MaxIdleLists lists a second.
+func (p Part) affordablePoll(agents int) time.Duration {
+	return time.Duration(agents) * time.Second / time.Duration(p.timing.MaxIdleLists)
+}
+
+// leaseFor returns the lease that is granted with a poll. What is left of it when the poll ends, and the leader may be lost, is
+// the same for a longer poll.
+func (p Part) leaseFor(poll time.Duration) time.Duration {
+	return p.timing.Lease + max(0, poll-p.timing.LongPoll)
+}
+
+// longestLease returns the longest lease that a leader may have granted so far. The agents never get fewer, as those that have
+// left are kept.
+func (p Part) longestLease() time.Duration {
+	return p.leaseFor(min(p.affordablePoll(p.agents.Len()), p.timing.MaxLongPoll))
+}
+
 // maxSilence returns how long after its last answer an agent gets new runs. An agent may be silent for as long as its
 // poll lasts.
 func (s *stepper) maxSilence(session agentSession) time.Duration {
--- a/flow/polls_test.go
+++ b/flow/polls_test.go
@@ -157,3 +157,23 @@
 		}
 	}
 }
+
+// TestNextLeaderWaitsForLongestLease guards against a new leader that takes the lease of an agent for expired which a former one granted with
+// a long poll, and starts the agent's tasks elsewhere while they run (TWICE).
+func TestNextLeaderWaitsForLongestLease(t *testing.T) {
+	for _, c := range []struct {
+		agents int
+		longer time.Duration // than Timing.Lease
+	}{{900, 0}, {1350, 500 * time.Millisecond}, {3900, time.Second}} {
+		s := newTestLeader(c.agents)
+		p := stepper{Part: s.part(), now: s.now}
+		session, _ := p.session("w0")
+		granted := p.leaseFor(p.longPoll("w0", session))
+		if want := p.timing.Lease + c.longer; granted != want {
+			t.Errorf("%d agents: granted %v, want %v", c.agents, granted, want)
+		}
+		if waits := p.formerLeasesEnd(s.now).Sub(s.now); waits < granted*102/100 {
+			t.Errorf("%d agents: the next leader waits for %v, but a lease lasts %v and its clock may be slow", c.agents, waits, granted)
+		}
+	}
+}
