--- a/colocation/headroom.go
+++ b/colocation/headroom.go
@@ -20,10 +20,10 @@
 
 // The parameters of the headroom estimates.
 const (
-	priorHeadroom       = 2.5  // of a group without measurements
-	priorHeadroomStdDev = 1.0  // standard deviation of priorHeadroom
-	priorSlopeStdDev    = 0.4  // standard deviation of the initial slope, which is 0, per second
-	slopeProcessNoise   = 0.04 // growth of slopeVariance per second without a measurement
+	priorHeadroom       = 2.5             // of a group without measurements
+	priorHeadroomStdDev = 1.0             // standard deviation of priorHeadroom
+	priorSlopeStdDev    = 0.4             // standard deviation of the initial slope, which is 0, per second
+	slopeProcessNoise   = 0.04            // growth of slopeVariance per second without a measurement
 	maxPredictionTime   = 3 * time.Second // an agent tells of its tasks each 2 s or more often
 )
 
