--- a/flow/suspicion.go
+++ b/flow/suspicion.go
@@ -89,7 +89,7 @@
 }
 
 // noteAtWork records when an agent first listed a run as live. It looks only at recent runs, as
-// agents list all runs each second.
+// agents list all runs each second or two.
 func (s *stepper) noteAtWork(ref notch.RunRef, r notch.Run) {
 	if s.now.Sub(r.Since) >= noteWithin && s.now.Sub(s.leadership.Ready) >= noteWithin {
 		return
