--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -247,6 +247,8 @@
 type host struct {
 	address, zone string
 	labels        string
+	behind        string // address behind a proxy; empty: there is none
+	cutFile       string // exists while the minion is cut off; empty: it never is
 	process       *process
 }
 
@@ -263,7 +265,7 @@
 	}
 	id := "i-" + strings.NewReplacer(".", "", ":", "").Replace(h.address)
 	h.process, err = c.startProcess(id, "", nil, self, "minion", "-id", id, "-service", "sale-svc", "-address", h.address, "-zone", h.zone,
-		"-labels", h.labels, "-control", strings.Join(c.controls(), ","))
+		"-labels", h.labels, "-listen", h.behind, "-cut-file", h.cutFile, "-control", strings.Join(c.controls(), ","))
 	return err
 }
 
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -41,6 +41,7 @@
 	labels                     []string
 	capacity                   size
 	maxLease                   time.Duration
+	cutFile                    string // while this file exists, heartbeats don't arrive
 	began                      time.Time
 
 	mu       sync.Mutex
@@ -240,6 +241,10 @@
 	client := http.Client{Timeout: time.Second}
 	next := ""
 	for sequence := 1; ; sequence++ {
+		if _, err := os.Stat(m.cutFile); m.cutFile != "" && err == nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
 		b, _ := json.Marshal(map[string]any{
 			"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
 			"capacity": m.capacity, "labels": m.labels, "machine": "m-" + m.address, "clockMs": m.clock(), "born": m.began.UnixMilli(), "sequence": sequence,
@@ -278,13 +283,18 @@
 	flags.StringVar(&m.address, "address", "", "address")
 	flags.StringVar(&m.zone, "zone", "", "zone")
 	labels := flags.String("labels", "", "labels, separated by commas")
+	listen := flags.String("listen", "", "address to listen on, if it isn't the minion's address")
+	flags.StringVar(&m.cutFile, "cut-file", "", "file that exists while the minion is cut off")
 	control := flags.String("control", "", "control addresses, separated by commas")
 	maxLease := flags.Int("hold-max-ms", 6000, "longest lease")
 	heartbeat := flags.Int("heartbeat-ms", 1500, "time between heartbeats")
 	flags.Parse(args)
 	m.labels, m.maxLease = strings.Split(*labels, ","), time.Duration(*maxLease)*time.Millisecond
 	m.capacity = size{CPU: 64000, Memory: 256000}
-	l, err := net.Listen("tcp", m.address)
+	if *listen == "" {
+		*listen = m.address
+	}
+	l, err := net.Listen("tcp", *listen)
 	if err != nil {
 		fmt.Println("minion:", err)
 		os.Exit(2)
