--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -49,7 +49,6 @@
 	running  map[string]*run
 	highest  map[string]uint64 // highest run of a task that was stopped or has ended here
 	finished [][]any
-	acked    uint64
 	ends     uint64
 	deadline time.Time
 	changed  chan struct{}
@@ -191,8 +190,7 @@
 		}
 		m.fence, lists = o.Token, true
 		m.renew(o.DeadlineMs)
-		m.acked = max(m.acked, o.AckCursor)
-		for len(m.finished) > 0 && m.finished[0][0].(uint64) <= m.acked {
+		for len(m.finished) > 0 && m.finished[0][0].(uint64) <= o.AckCursor {
 			m.finished = m.finished[1:]
 		}
 		m.await(time.Duration(min(o.WaitMs, 2000)) * time.Millisecond)
