--- a/review/standin-2/jobs.go
+++ b/review/standin-2/jobs.go
@@ -100,22 +100,6 @@
 	return out
 }
 
-// awaitStart waits for a start of a task of a job after the first n ones.
-func (c *cluster) awaitStart(id string, n int, d time.Duration) (minionLine, bool) {
-	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
-		var starts []minionLine
-		for _, l := range c.lines(id) {
-			if l.what == "started" {
-				starts = append(starts, l)
-			}
-		}
-		if len(starts) > n {
-			return starts[n], true
-		}
-	}
-	return minionLine{}, false
-}
-
 // count returns how many runs of a job ended so.
 func (c *cluster) count(id, what string) int {
 	n := 0
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,7 @@
 	"crashed-host": crashedHost,
 	"late-lasting": lateLasting,
 	"unseen-end":   unseenEnd,
+	"late-copy":    lateCopy,
 }
 
 func main() {
