--- a/review/standin-2/latecopy.go
+++ b/review/standin-2/latecopy.go
@@ -9,7 +9,7 @@
 // is cut off, crashes behind the cut and starts again (node_cut), and carries the first copy out. It checks that no run starts
 // after the end was taken note of.
 func lateCopy(c *cluster, trouble bool) (string, error) {
-	proxies, err := c.tenMinions()
+	proxies, err := c.tenMinions(9)
 	if err != nil {
 		return "", err
 	}
--- a/review/standin-2/proxy.go
+++ b/review/standin-2/proxy.go
@@ -131,3 +131,12 @@
 	os.Remove(p.h.cutFile)
 	p.c.record.printf("trouble: the minion at %s is reached again", p.h.address)
 }
+
+// takeHeld removes the orders that wait to be carried out late, and returns them.
+func (p *proxy) takeHeld() []heldOrder {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := p.held
+	p.held = nil
+	return out
+}
--- a/review/standin-2/unseenend.go
+++ b/review/standin-2/unseenend.go
@@ -13,7 +13,7 @@
 // behind the cut and starts again (node_cut), and carries both out then. The run of that start ends as failed. It checks that
 // the job isn't shown as completed, as no run of its only task has ended as done.
 func unseenEnd(c *cluster, trouble bool) (string, error) {
-	proxies, err := c.tenMinions()
+	proxies, err := c.tenMinions(9)
 	if err != nil {
 		return "", err
 	}
