--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,7 @@
 	"late-lasting": lateLasting,
 	"unseen-end":   unseenEnd,
 	"late-copy":    lateCopy,
+	"third-life":   thirdLife,
 }
 
 func main() {
