--- a/flow/contact.go
+++ b/flow/contact.go
@@ -10,22 +10,6 @@
 // Timing.RetryInterval.
 const maxBackoff = 6
 
-// maxTokensForSilence limits the tokens of one term that are given out because agents fall silent. The others are left for
-// agents that restart, which they do less often.
-const maxTokensForSilence = 1 << (incarnationBits - 1)
-
-// fencedOff returns the session of an agent that has fallen silent, with a token that is higher than those of all orders
-// that were sent to it. If the agent restarts, the first order with it shuts out those that are late, also before the
-// next incarnation is known.
-func (s *stepper) fencedOff(session agentSession) agentSession {
-	if s.incarnations >= maxTokensForSilence {
-		return session
-	}
-	s.incarnations++
-	session.token = s.token()
-	return session
-}
-
 // A silent agent is asked in quick succession while a start may be late, as its next incarnation must see the token
 // before that is carried out. One call in fullTimeoutPeriod may take its time: the agent may be slow, and must answer
 // while its lease lasts.
@@ -36,7 +20,7 @@
 
 // renewalTimeout returns how long a renewal to the agent of a session may take.
 func (s *stepper) renewalTimeout(session agentSession, o notch.AgentOrder) time.Duration {
-	if session.unanswered%fullTimeoutPeriod != 0 && s.awaitsLateStart(session) {
+	if session.unanswered%fullTimeoutPeriod != 0 && session.starts.late(s.now) {
 		return s.timing.AnswerTimeout / probesPerTimeout
 	}
 	return o.Wait + s.timing.AnswerTimeout
@@ -45,22 +29,8 @@
 // pauseAfterSilence returns how long to wait before the next order to an agent after one without an answer.
 func (s *stepper) pauseAfterSilence(session agentSession, b notch.AgentAnswered) time.Duration {
 	pause := s.timing.RetryInterval * time.Duration(min(session.unanswered, maxBackoff))
-	if s.awaitsLateStart(session) {
+	if session.starts.late(s.now) {
 		pause = s.timing.AnswerTimeout/probesPerTimeout - s.receivedAt(b).Sub(b.SentAt)
 	}
 	return max(0, pause)
 }
-
-// awaitsLateStart reports whether a start to the agent of a session may be carried out late.
-func (s *stepper) awaitsLateStart(session agentSession) bool {
-	if s.now.Before(session.lateStartsUntil) {
-		return true
-	}
-	for _, r := range s.load(session.incarnation.Agent).runs {
-		orders, _ := s.runOrders.Get(r.ref)
-		if orders.startSentAt != 0 && !orders.located() && s.now.Before(orders.startSentAt.Add(maxOrderLateness)) {
-			return true
-		}
-	}
-	return false
-}
--- a/flow/contact_test.go
+++ b/flow/contact_test.go
@@ -13,7 +13,7 @@
 	s.leadership.Term = 3
 	session := agentSession{token: s.token()}
 	for range 1<<incarnationBits + 10 {
-		next := s.fencedOff(session)
+		next := s.withRaisedToken(session)
 		if next.token < session.token || next.token>>incarnationBits != s.leadership.Term {
 			t.Fatalf("got token %#x after %#x, want no lower one, of term %d", next.token, session.token, s.leadership.Term)
 		}
--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -65,7 +65,7 @@
 		}
 		s.putSession(a.ID, s.renewed(agentSession{
 			incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: s.formerLease(*a, formerLeasesEnd),
-			grantedAt: s.now, unansweredAckAt: s.now,
+			grantedAt: s.now, starts: s.formerOpenStarts(load),
 		}))
 	}
 	s.needsPlan = true
@@ -109,15 +109,6 @@
 	return at.Add(time.Duration(float64(s.longestLease())*(1+lease.MaxClockDrift)) + formerLeaderMargin)
 }
 
-// incarnationBits is the number of low bits of a token that count the incarnations met in one
-// term.
-const incarnationBits = 20
-
-// token returns the token for a session that starts now. It is higher than the tokens of
-// all earlier incarnations, because orders and acknowledgements to those may arrive late at a
-// later incarnation with the same id.
-func (s *stepper) token() uint64 { return s.leadership.Term<<incarnationBits | s.incarnations }
-
 // startSession starts the session of a new incarnation of an agent, which is known by an earlier one
 // if it was restarted.
 func (s *stepper) startSession(a notch.Agent, restarted bool) {
@@ -137,6 +128,6 @@
 	}
 	s.putSession(a.ID, s.renewed(agentSession{
 		incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: l, grantedAt: before.grantedAt,
-		predecessorAnsweredAt: before.lastAnsweredAt, lateStartsUntil: before.lateStartsUntil, unansweredAckAt: max(before.unansweredAckAt, before.ackSentAt),
+		predecessorAnsweredAt: before.lastAnsweredAt, starts: before.starts.withSuccessor(),
 	}))
 }
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -11,15 +11,21 @@
 
 // renewalAnswered handles the answer to a lease renewal.
 func (s *stepper) renewalAnswered(session agentSession, b notch.AgentAnswered) {
-	session = session.withRenewalAnswered(b)
+	session.renewalSentAt, session.ackToken = 0, 0
 	if b.Answer.Reason == notch.ReasonExpired {
 		s.putSession(session.incarnation.Agent, session) // this leader was late, not the agent; the next tick renews
 		return
 	}
+	if b.Answer.Reason == notch.ReasonFenced && b.Order.Token < session.token {
+		s.count("renewals-overtaken", 1)
+		s.putSession(session.incarnation.Agent, s.renewed(session)) // a later order of this leader was carried out before it
+		return
+	}
 	a, _ := s.agent(session.incarnation.Agent)
 	if b.Answer.Kind != notch.AgentOK && session.unanswered == 0 {
 		s.recordLoss(a)
-		session = s.fencedOff(session)
+		// If the agent restarts, the first order shuts out those that are late, also before the next incarnation is known.
+		session = s.withRaisedToken(session)
 	}
 	switch {
 	case b.Answer.Kind == notch.AgentWrongIncarnation:
@@ -56,12 +62,14 @@
 	s.logLapsedRuns(session, ends, b.Answer.Clock)
 	session.unanswered, session.lastAnsweredAt = 0, s.now
 	session.forgottenUpTo = max(session.forgottenUpTo, b.Order.Ack)
+	session.starts = session.starts.withListed(b.Answer)
 	session = s.checkLiveRuns(session, a, b.Answer.Live)
+	s.putSession(a.ID, session)
 	endsOfMissing, missing := s.endsOfMissingRuns(session, a, b)
+	session, _ = s.session(a.ID) // starts may have been sent
 	ends, session.missesRuns = append(ends, endsOfMissing...), missing
 	if missing {
 		session.grantedAt = s.now // a repeated start has a deadline
-		session.lateStartsUntil = s.now.Add(maxOrderLateness)
 	}
 	ends = append(ends, s.unfoundedSuspicions(session)...)
 	s.controlColocation(a, b.Answer.Live)
@@ -75,9 +83,9 @@
 		session.proposedUpTo, session.committedUpTo = upTo, upTo
 	}
 	// An agent that lists ends which aren't acknowledged yet answers at once.
-	listsAgain := missing && len(b.Answer.Ends) > 0
+	listsAgain := (missing || s.withholdsAck(session)) && len(b.Answer.Ends) > 0
 	if len(ends) == 0 && listsAgain {
-		session.nextRenewalAt = s.now.Add(missingRunPoll)
+		session.nextRenewalAt = s.now.Add(s.listsAgainAfter(missing))
 	}
 	if len(ends) == 0 {
 		s.commitClock(session, b.Answer)
@@ -285,7 +293,11 @@
 	}
 	session.committedUpTo = max(session.committedUpTo, committed.UpTo)
 	session.proposedUpTo = max(session.proposedUpTo, committed.UpTo)
-	if d := s.pollDelay(committed.Life.Agent); d > 0 && session.renewalSentAt == 0 {
+	d := s.pollDelay(committed.Life.Agent)
+	if s.withholdsAck(session) {
+		d = max(d, s.listsAgainAfter(session.missesRuns))
+	}
+	if d > 0 && session.renewalSentAt == 0 {
 		session.nextRenewalAt = s.now.Add(d)
 		s.putSession(committed.Life.Agent, session)
 		return
--- a/flow/missing.go
+++ b/flow/missing.go
@@ -71,13 +71,16 @@
 		return orders.proposedEnd, true // it may be committed, so the start must not be repeated
 	}
 	if r.Life != session.incarnation && orders.askedOf != session.incarnation {
-		// The agent has seen the new incarnation's token, which is higher, so the run can't start there any more.
+		// The agent has seen the new incarnation's token, which is higher, so that a start to an earlier one can't be
+		// carried out there any more. A further incarnation hasn't seen it.
+		if !session.starts.of(ref, s.now) {
+			return notch.RunLost, true
+		}
 		// A run that has likely crashed its agent would crash the next incarnation as well.
-		crashed := suspicion() == notch.SuspicionRaised && s.isSuspect(ref, r)
-		if !crashed && s.mayHaveEndedUnseen(session, ref, r, b.Answer.Ends) && s.asksForRun(session, a, ref) {
-			return "", false
+		if suspicion() != notch.SuspicionRaised || !s.isSuspect(ref, r) {
+			s.startsHere(session, a, ref)
 		}
-		return notch.RunLost, true
+		return "", false
 	}
 	if !s.placedHere(r) && orders.startSentAt == 0 {
 		if !s.mayOrder() || s.repeatsStart(session, a, ref, orders) {
@@ -89,14 +92,14 @@
 	switch {
 	case orders.startOutcome == notch.AgentOK && !requestedAt.Before(orders.startAnsweredAt):
 		return notch.RunLost, true
-	case hasEndedUnseen(session, r, orders, requestedAt):
-		return s.unseenEnd(ref, a.ID), true
+	case isRefusedHere(session, r, orders, requestedAt):
+		return notch.RunLost, true
 	case orders.startOutcome != notch.AgentNoAnswer:
 		// The start is not answered yet, was confirmed after the lists were requested, or was
 		// refused, which ends the run.
 		return "", false
 	case orders.stopAnsweredAt != 0 && !requestedAt.Before(orders.stopAnsweredAt):
-		return notch.RunNotStarted, s.stageOf(ref).Lasts || !s.mayStartLate(orders)
+		return notch.RunNotStarted, s.stageOf(ref).Lasts || !session.starts.of(ref, s.now) // a stop binds the incarnation that confirmed it, and not the next one
 	case orders.stopAnsweredAt == 0 && !requestedAt.Before(orders.startAnsweredAt) && s.mayOrder():
 		if s.repeatsStart(session, a, ref, orders) {
 			break
--- /dev/null
+++ b/flow/openstarts.go
@@ -0,0 +1,129 @@
+package flow
+
+import (
+	"slices"
+
+	notch "tamaracknotch"
+)
+
+// openStart is one copy of a start that was sent to an agent and that its present incarnation, or a later one, may carry
+// out yet. An order names the agent, and each incarnation takes it for its own.
+type openStart struct {
+	run       notch.RunRef
+	sentAt    notch.Time // when it was sent, or this leader was elected if a former one sent it
+	lateUntil notch.Time // from then on it can't be carried out any more; zero: its call is under way
+	sole      bool       // no other copy was sent
+}
+
+// openStarts holds the open copies of starts to one agent. While there are any, no end on the agent is acknowledged: an
+// acknowledgement names positions, and the incarnation that carries out the start might forget the end of that run. It is
+// never modified.
+type openStarts []openStart
+
+// withSent returns o after a copy of the start of a run was sent, the first one or another.
+func (o openStarts) withSent(run notch.RunRef, first bool, now notch.Time) openStarts {
+	out := make(openStarts, 0, len(o)+1)
+	for _, c := range o {
+		c.sole = c.sole && c.run != run
+		if !c.isOver(now) {
+			out = append(out, c)
+		}
+	}
+	return append(out, openStart{run: run, sentAt: now, sole: first})
+}
+
+// withoutAnswer returns o after the call of the copy under way has ended, and the copy may still be carried out.
+func (o openStarts) withoutAnswer(run notch.RunRef) openStarts {
+	out := slices.Clone(o)
+	for i, c := range out {
+		if c.run == run && c.lateUntil == 0 {
+			out[i].lateUntil = c.sentAt.Add(maxOrderLateness)
+		}
+	}
+	return out
+}
+
+// withAnswer returns o after it became known what became of the copy of a run's start under way: it was carried out, or
+// it won't be.
+func (o openStarts) withAnswer(run notch.RunRef) openStarts {
+	return o.without(func(c openStart) bool { return c.run == run && c.lateUntil == 0 })
+}
+
+// withListed returns o after lists have shown runs. If several copies of a start were sent, it isn't known which of them
+// was carried out.
+func (o openStarts) withListed(answer notch.AgentAnswer) openStarts {
+	if len(o) == 0 {
+		return o
+	}
+	return o.without(func(c openStart) bool { return c.sole && isListed(answer, c.run) })
+}
+
+// withSuccessor returns o for the next incarnation of the agent. What the calls under way bring says nothing about it.
+func (o openStarts) withSuccessor() openStarts {
+	out := slices.Clone(o)
+	for i, c := range out {
+		if c.lateUntil == 0 {
+			out[i].lateUntil = c.sentAt.Add(maxOrderLateness)
+		}
+	}
+	return out
+}
+
+// any reports whether a start may be carried out yet.
+func (o openStarts) any(now notch.Time) bool {
+	return slices.ContainsFunc(o, func(c openStart) bool { return !c.isOver(now) })
+}
+
+// late reports whether a start may be carried out yet whose call has ended.
+func (o openStarts) late(now notch.Time) bool {
+	return slices.ContainsFunc(o, func(c openStart) bool { return c.lateUntil != 0 && !c.isOver(now) })
+}
+
+// of reports whether a start of a run may be carried out yet.
+func (o openStarts) of(run notch.RunRef, now notch.Time) bool {
+	return slices.ContainsFunc(o, func(c openStart) bool { return c.run == run && !c.isOver(now) })
+}
+
+// isOver reports whether a copy can't be carried out any more.
+func (c openStart) isOver(now notch.Time) bool { return c.lateUntil != 0 && !now.Before(c.lateUntil) }
+
+// without returns o without the copies for which a function returns true.
+func (o openStarts) without(f func(openStart) bool) openStarts {
+	if !slices.ContainsFunc(o, f) {
+		return o
+	}
+	return slices.DeleteFunc(slices.Clone(o), f)
+}
+
+// formerOpenStarts returns the starts of the runs on an agent that former leaders may have sent shortly before this one
+// was elected.
+func (s *stepper) formerOpenStarts(load *agentLoad) openStarts {
+	var out openStarts
+	for _, r := range load.runs {
+		if s.mayBeLateFromFormerLeader(r.ref) {
+			out = append(out, openStart{run: r.ref, sentAt: s.now, lateUntil: s.leadership.Ready.Add(maxOrderLateness), sole: true})
+		}
+	}
+	return out
+}
+
+// putOpenStarts replaces the open starts in the session of an agent, and acknowledges the ends that have waited for the
+// last of them.
+func (s *stepper) putOpenStarts(agent string, change func(openStarts) openStarts) {
+	session, ok := s.session(agent)
+	if !ok || len(session.starts) == 0 {
+		return
+	}
+	waited := s.withholdsAck(session)
+	session.starts = change(session.starts)
+	acks := waited && !s.withholdsAck(session) && session.unanswered == 0 && session.proposedUpTo == session.committedUpTo
+	if acks && s.pollDelay(agent) == 0 {
+		session = s.renewed(session)
+	}
+	s.putSession(agent, session)
+}
+
+// withholdsAck reports whether ends are committed that aren't acknowledged because of open starts.
+func (s *stepper) withholdsAck(session agentSession) bool {
+	return session.committedUpTo > session.forgottenUpTo && session.starts.any(s.now)
+}
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -35,17 +35,18 @@
 		// leases of an agent that is gone would never expire. If the agent restarts meanwhile, its
 		// next incarnation would take the acknowledgement for one of its own ends.
 		o.Deadline = session.lease.Deadline(s.now, s.leaseFor(o.Wait))
-		// Nothing is acknowledged either while a run is missing: its start may be carried out by the next
-		// incarnation, which must not forget the end of that run.
-		if !session.missesRuns && session.committedUpTo > session.forgottenUpTo {
+		if !session.missesRuns && !session.starts.any(s.now) && session.committedUpTo > session.forgottenUpTo {
 			o.Ack = session.committedUpTo
 		}
 	}
+	if o.Ack != 0 && !canRaiseToken(session) {
+		o.Wait = 0 // no start is sent before the answer
+	}
 	a, _ := s.agent(session.incarnation.Agent)
 	session = s.granted(session, o.Deadline)
-	session.renewalSentAt, session.pollWait = s.now, o.Wait
+	session.renewalSentAt, session.pollWait, session.ackToken = s.now, o.Wait, 0
 	if o.Ack != 0 {
-		session.ackSentAt = s.now
+		session.ackToken = o.Token
 	}
 	s.callAgent(a, o, s.renewalTimeout(session, o))
 	return session
@@ -183,9 +184,15 @@
 	if b.Answer.Kind == notch.AgentOK {
 		s.noteBegun(ref.Task.Flow)
 	}
+	s.putOpenStarts(b.Life.Agent, func(o openStarts) openStarts {
+		if b.Answer.Kind == notch.AgentNoAnswer || b.Answer.Kind == notch.AgentOK && !s.confirmsHere(b) {
+			return o.withoutAnswer(ref)
+		}
+		return o.withAnswer(ref)
+	})
 	r, ok := s.run(ref)
 	if orders, _ := s.runOrders.Get(ref); ok && r.Life != b.Life && orders.askedOf == b.Life {
-		s.askAnswered(b, orders)
+		s.startHereAnswered(b, orders)
 	}
 	if !ok || r.Life != b.Life {
 		return
--- a/flow/polls.go
+++ b/flow/polls.go
@@ -11,6 +11,15 @@
 // the run may start elsewhere takes up to three lists.
 const missingRunPoll = 100 * time.Millisecond
 
+// listsAgainAfter returns how long the leader waits before it asks an agent for its lists again that would repeat the same
+// ends, as they may not be acknowledged yet: for less if the lists lack a run.
+func (s *stepper) listsAgainAfter(missing bool) time.Duration {
+	if missing {
+		return missingRunPoll
+	}
+	return max(missingRunPoll, min(s.affordablePoll(s.sessions.Len()), maxPollDelay))
+}
+
 // longPoll returns how long an agent may delay its answer while no run ends. The more agents there are, the longer, as
 // each list costs the leader as much as a start.
 func (s *stepper) longPoll(id string, session agentSession) time.Duration {
--- a/flow/proof.go
+++ b/flow/proof.go
@@ -13,7 +13,7 @@
 	return []notch.LogField{
 		notch.TextField("start", string(orders.startOutcome)), notch.TextField("start-age", s.age(orders.startSentAt)),
 		notch.TextField("listed", strconv.FormatBool(orders.listed)), notch.IntField("repeats", orders.repeats),
-		notch.TextField("last-grant", s.age(session.grantedAt)), notch.TextField("unanswered-ack", s.age(session.unansweredAckAt)),
+		notch.TextField("last-grant", s.age(session.grantedAt)), notch.IntField("open-starts", len(session.starts)),
 	}
 }
 
--- a/flow/repeat.go
+++ b/flow/repeat.go
@@ -45,6 +45,9 @@
 	s.runOrders = s.runOrders.Set(ref, orders)
 	s.startsUnderWay = s.startsUnderWay.withSent(s.now)
 	s.count("starts-repeated", 1)
+	session, _ = s.session(a.ID)
+	session = s.withStartSent(session, ref, false)
+	s.putSession(a.ID, session)
 	s.sendOrder(a, notch.AgentOrder{
 		Kind: notch.AgentStart, Token: session.token, Run: ref, Spec: w.Flow.Spec, Checkpoint: t.Saved, Deadline: deadline,
 	})
@@ -69,13 +72,6 @@
 	s.runOrders = s.runOrders.Set(ref, orders)
 }
 
-// mayStartLate reports whether a start that got no answer may still be carried out. A stop that was confirmed binds the
-// incarnation that did, and not the next one.
-func (s *stepper) mayStartLate(orders runOrders) bool {
-	last := max(orders.startSentAt, orders.repeatedAt)
-	return last != 0 && s.now.Before(last.Add(maxOrderLateness))
-}
-
 // isStoppedHere reports whether a run was stopped on its agent and is kept only until its start can't be late any more.
 func (s *stepper) isStoppedHere(ref notch.RunRef) bool {
 	orders, _ := s.runOrders.Get(ref)
--- a/flow/sendstarts.go
+++ b/flow/sendstarts.go
@@ -80,13 +80,18 @@
 		s.withdrawRun(noLongerAccepts, ref, r)
 		return
 	}
+	if !mayOvertakeAck(session) {
+		s.withdrawRun(noLongerAccepts, ref, r)
+		return
+	}
 	s.runOrders = s.runOrders.Set(ref, runOrders{startSentAt: s.now})
 	s.startsUnderWay = s.startsUnderWay.withSent(s.now)
 	s.startWaits = s.startWaits.withSent(s.routeOf(w).Priority, r.Since, s.now)
 	s.countSent(w, ref.Task)
 	s.noteFirstStart(w, ref, r)
 	deadline := session.lease.Deadline(s.now, s.timing.Lease)
-	s.putSession(a.ID, s.granted(session, deadline))
+	session = s.withStartSent(s.granted(session, deadline), ref, true)
+	s.putSession(a.ID, session)
 	s.sendOrder(a, notch.AgentOrder{
 		Kind: notch.AgentStart, Token: session.token, Run: ref, Spec: w.Flow.Spec, Checkpoint: t.Saved, Deadline: deadline,
 	})
--- a/flow/session.go
+++ b/flow/session.go
@@ -33,9 +33,8 @@
 	noRunsBefore          notch.Time      // no new runs are placed before then
 	endsProposedAt        notch.Time      // when the ends of abandoned runs were last proposed
 	grantedAt             notch.Time      // when the last order was sent that grants a lease, to this or an earlier incarnation; by former leaders: when this one was elected
-	ackSentAt             notch.Time      // when the renewal under way was sent, if it acknowledges ends; zero: it doesn't
-	unansweredAckAt       notch.Time      // when the last acknowledgement was sent that this or an earlier incarnation left unanswered; by former leaders: when this one was elected; zero: none
-	lateStartsUntil       notch.Time      // until then, a start may be late of a run that the lists lacked
+	ackToken              uint64          // of the renewal under way, if it acknowledges ends; 0: it doesn't
+	starts                openStarts      // to this incarnation and to earlier ones
 	heardAt               notch.Time      // when the agent last answered an order, whichever incarnation of it did
 }
 
@@ -62,17 +61,6 @@
 	s.sessions = s.sessions.Set(agent, &session)
 }
 
-// withRenewalAnswered returns a session after the answer to the renewal under way. Its acknowledgement may still take
-// effect in a later incarnation, unless this one has carried it out or it wasn't sent.
-func (a agentSession) withRenewalAnswered(b notch.AgentAnswered) agentSession {
-	unsent := b.Answer.Kind == notch.AgentBusy || b.Answer.Reason == notch.ReasonExpired
-	if !unsent && !listsOf(a.incarnation, b) {
-		a.unansweredAckAt = max(a.unansweredAckAt, a.ackSentAt)
-	}
-	a.renewalSentAt, a.ackSentAt = 0, 0
-	return a
-}
-
 // agentClock is a reading of the clock of one incarnation of an agent.
 type agentClock struct {
 	incarnation notch.AgentIncarnation
