--- a/flow/missing.go
+++ b/flow/missing.go
@@ -99,7 +99,7 @@
 		// refused, which ends the run.
 		return "", false
 	case orders.stopAnsweredAt != 0 && !requestedAt.Before(orders.stopAnsweredAt):
-		return notch.RunNotStarted, s.stageOf(ref).Lasts || !session.starts.of(ref, s.now) // a stop binds the incarnation that confirmed it, and not the next one
+		return notch.RunNotStarted, !session.starts.of(ref, s.now) // a stop binds the incarnation that confirmed it, and not the next one
 	case orders.stopAnsweredAt == 0 && !requestedAt.Before(orders.startAnsweredAt) && s.mayOrder():
 		if s.repeatsStart(session, a, ref, orders) {
 			break
--- a/flow/successor.go
+++ b/flow/successor.go
@@ -25,9 +25,6 @@
 	switch {
 	case r.Life != session.incarnation && !s.wasAsked(session, ref):
 		return session.lastAnsweredAt == 0 || session.starts.of(ref, s.now)
-	case s.stageOf(ref).Lasts && orders.startOutcome != notch.AgentOK:
-		// To wait for a successor of which nothing is known would keep a long-running task away for too long.
-		return false
 	case !s.placedHere(r) && orders.startSentAt == 0:
 		return s.mayBeLateFromFormerLeader(ref)
 	}
