A new leader doesn't wait for starts that are certainly old (LOST)

Cause: the leader takes a run that a former leader placed shortly before its election for one whose start may be late. It reckoned from the instant at which it had applied the placement itself, which in a replica that has just started is that of its start: the tasks had been placed 42 s before. Since long-running tasks wait for late starts too, they did as well.

Change: the time in the log entry counts, with 5 s for the difference of the leaders' clocks.

Scripts can apply an entry that was proposed earlier (replay).

--- a/flow/successor.go
+++ b/flow/successor.go
@@ -42,10 +42,15 @@
 // when this one was elected.
 func (s *stepper) mayBeLateFromFormerLeader(ref notch.RunRef) bool {
 	r, _ := s.run(ref)
-	sentUntil := s.load(r.Life.Agent).placedAt(ref).Add(maxTimeToSend)
+	// A replica that has just started applies old placements late, and the clock of a former leader may have been behind.
+	placedAt := min(s.load(r.Life.Agent).placedAt(ref), r.Since.Add(maxClockDifference))
+	sentUntil := placedAt.Add(maxTimeToSend)
 	return s.leadership.Ready.Before(sentUntil.Add(maxOrderLateness))
 }
 
+// maxClockDifference limits how far the clocks of successive leaders are apart.
+const maxClockDifference = 5 * time.Second
+
 // maxTimeToSend limits how long after its run was placed a start is sent, or sent again.
 const maxTimeToSend = 10 * time.Second
 
--- a/script/step.go
+++ b/script/step.go
@@ -105,9 +105,10 @@
 //	ticks N DURATION         lets N ticks occur, each DURATION after the one before
 //	message FROM NAME [JSON] applies a message from another daemon
 //	commit INDEX[:TICKET] NAME [JSON] applies a command that was committed for the daemon's call TICKET, 7 by default
+//	replay AGE INDEX[:TICKET] NAME [JSON] the same, of a command that was proposed AGE ago
 //
 // NAME is the name of a type, and JSON an object with its fields by name.
-// Event, ticks, message and commit print the effects, one per line, or "none", which the
+// Event, ticks, message, commit and replay print the effects, one per line, or "none", which the
 // command stdout then compares.
 func StepCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	with := func(f func(s *stepState, ts *testscript.TestScript, args []string)) func(*testscript.TestScript, bool, []string) {
@@ -144,20 +145,28 @@
 		"message": with(func(s *stepState, ts *testscript.TestScript, args []string) {
 			s.step(ts, notch.MessageReceived{From: args[0], Message: parseValue[notch.Message](ts, args[1:])})
 		}),
-		"commit": with(func(s *stepState, ts *testscript.TestScript, args []string) {
-			e := notch.LogEntry{At: s.now, Origin: "a", Ticket: 7, Command: parseValue[notch.Command](ts, args[1:])}
-			index, ticket, given := strings.Cut(args[0], ":")
-			_, err := fmt.Sscan(index, &e.Index)
+		"commit": with(func(s *stepState, ts *testscript.TestScript, args []string) { s.commit(ts, s.now, args) }),
+		"replay": with(func(s *stepState, ts *testscript.TestScript, args []string) {
+			age, err := time.ParseDuration(args[0])
 			ts.Check(err)
-			if given {
-				_, err = fmt.Sscan(ticket, &e.Ticket)
-				ts.Check(err)
-			}
-			s.step(ts, notch.Committed{Entry: e})
+			s.commit(ts, s.now.Add(-age), args[1:])
 		}),
 	}
 }
 
+// commit applies a command that was proposed at the given time.
+func (s *stepState) commit(ts *testscript.TestScript, at notch.Time, args []string) {
+	e := notch.LogEntry{At: at, Origin: "a", Ticket: 7, Command: parseValue[notch.Command](ts, args[1:])}
+	index, ticket, given := strings.Cut(args[0], ":")
+	_, err := fmt.Sscan(index, &e.Index)
+	ts.Check(err)
+	if given {
+		_, err = fmt.Sscan(ticket, &e.Ticket)
+		ts.Check(err)
+	}
+	s.step(ts, notch.Committed{Entry: e})
+}
+
 // parseValue parses a value that is written as the name of its type and a JSON object.
 func parseValue[T any](ts *testscript.TestScript, args []string) T {
 	t, ok := namedTypes[args[0]]
