The log tells which long-running runs were located (LOST)

Cause: only the leader that sent a start knows that it was answered. The next one waits for a late start of each run that was placed shortly before its election and that no list shows; since long-running tasks wait for late starts, for those too.

Change: the leader commits that the only copy of the start of a long-running run was carried out by the incarnation that it was placed on (EndRuns.Located, Run.Located). Old builds ignore the fields, as they did with Run.Throttled.

--- a/command.go
+++ b/command.go
@@ -160,6 +160,8 @@
 	Ends  []RunEnd
 	UpTo  uint64
 	Clock int64 // the agent's clock in ms when it listed the ends; 0: not known
+
+	Located []RunRef `cbor:",omitempty"` // long-running runs that this incarnation has started, see Run.Located
 }
 
 func (Noop) command()             {}
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -41,7 +41,7 @@
 	case notch.EndRuns:
 		s.endRuns(c, e.At)
 		if len(c.Ends) == 0 {
-			return // only the agent's clock was committed
+			return // only the agent's clock or located runs were committed
 		}
 	default:
 		return
@@ -231,6 +231,9 @@
 	for _, e := range c.Ends {
 		s.endRun(c.Life, e, at)
 	}
+	for _, ref := range c.Located {
+		s.applyLocated(ref, at)
+	}
 	if c.Clock != 0 {
 		s.agentClocks = s.agentClocks.Set(c.Life.Agent, agentClock{c.Life, lease.NewAgentClock(c.Clock, s.now)})
 	}
--- a/flow/lists.go
+++ b/flow/lists.go
@@ -247,7 +247,7 @@
 		return placed
 	}
 	if !listedBefore {
-		s.confirmStart(l.Run)
+		s.confirmStart(l.Run, r)
 		s.noteAtWork(l.Run, r)
 	}
 	return true
@@ -272,11 +272,14 @@
 }
 
 // confirmStart records that a run has started on the incarnation that it was placed on.
-func (s *stepper) confirmStart(ref notch.RunRef) {
+func (s *stepper) confirmStart(ref notch.RunRef, r notch.Run) {
 	orders, _ := s.runOrders.Get(ref)
 	if orders.listed {
 		return
 	}
+	if !orders.located() {
+		s.recordLocated(ref, r, orders)
+	}
 	if orders.startOutcome != notch.AgentOK {
 		orders.startOutcome, orders.startAnsweredAt = notch.AgentOK, s.now
 	}
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -201,6 +201,9 @@
 		s.startWaits = s.startWaits.withAnswered(s.routeOf(w).Priority, b.SentAt, s.receivedAt(b), s.now)
 	}
 	orders, _ := s.runOrders.Get(ref)
+	if !orders.located() && s.confirmsHere(b) {
+		s.recordLocated(ref, r, orders)
+	}
 	orders.startOutcome, orders.startAnsweredAt = b.Answer.Kind, s.now
 	orders.confirmedHere = orders.confirmedHere || s.confirmsHere(b)
 	if b.Answer.Kind == notch.AgentOK && orders.atWorkSince == 0 {
--- a/flow/successor.go
+++ b/flow/successor.go
@@ -42,6 +42,9 @@
 // when this one was elected.
 func (s *stepper) mayBeLateFromFormerLeader(ref notch.RunRef) bool {
 	r, _ := s.run(ref)
+	if r.Located {
+		return false
+	}
 	// A replica that has just started applies old placements late, and the clock of a former leader may have been behind.
 	placedAt := min(s.load(r.Life.Agent).placedAt(ref), r.Since.Add(maxClockDifference))
 	sentUntil := placedAt.Add(maxTimeToSend)
--- a/size.go
+++ b/size.go
@@ -22,7 +22,7 @@
 	case PlaceRuns:
 		size += itemSize * len(c.Placements)
 	case EndRuns:
-		size += itemSize * len(c.Ends)
+		size += itemSize * (len(c.Ends) + len(c.Located))
 	case PlaceTasks:
 		size += itemSize * len(c.Placements)
 	case ReportTasks:
--- a/workflow.go
+++ b/workflow.go
@@ -119,6 +119,10 @@
 
 	// Throttled is true for an opportunistic run that counts on ThrottledPercent of its declared processors only.
 	Throttled bool `cbor:",omitempty"`
+
+	// Located is true once the leader that placed a long-running run knows that its only start was carried out by the
+	// incarnation that it was placed on.
+	Located bool `cbor:",omitempty"`
 }
 
 // RunEndKind is the way in which a run ended.
@@ -310,6 +314,15 @@
 	return t
 }
 
+// WithLocated returns t after the numbered run was located, if it has that run.
+func (t WorkflowTask) WithLocated(number uint64) WorkflowTask {
+	t.Runs = slices.Clone(t.Runs)
+	for i := range t.Runs {
+		t.Runs[i].Located = t.Runs[i].Located || t.Runs[i].Number == number
+	}
+	return t
+}
+
 // WithoutRun returns t without the numbered run.
 func (t WorkflowTask) WithoutRun(number uint64) WorkflowTask {
 	t.Runs = slices.DeleteFunc(slices.Clone(t.Runs), func(r Run) bool { return r.Number == number })
