Acknowledgements don't wait for the starts of a former leader

Change: only starts that this leader sent withhold acknowledgements, as long as no list lacks a run. Whether a former leader's start may be late still decides when a run is placed elsewhere.

--- a/flow/leadership.go
+++ b/flow/leadership.go
@@ -65,7 +65,7 @@
 		}
 		s.putSession(a.ID, s.renewed(agentSession{
 			incarnation: a.Incarnation(), startedAt: s.now, token: s.token(), lease: s.formerLease(*a, formerLeasesEnd),
-			grantedAt: s.now, starts: s.formerOpenStarts(load),
+			grantedAt: s.now,
 		}))
 	}
 	s.needsPlan = true
--- a/flow/missing.go
+++ b/flow/missing.go
@@ -73,7 +73,7 @@
 	if r.Life != session.incarnation && orders.askedOf != session.incarnation {
 		// The agent has seen the new incarnation's token, which is higher, so that a start to an earlier one can't be
 		// carried out there any more. A further incarnation hasn't seen it.
-		if !session.starts.of(ref, s.now) {
+		if !s.mayStartYet(session, ref, r) {
 			return notch.RunLost, true
 		}
 		// A run that has likely crashed its agent would crash the next incarnation as well.
@@ -99,7 +99,7 @@
 		// refused, which ends the run.
 		return "", false
 	case orders.stopAnsweredAt != 0 && !requestedAt.Before(orders.stopAnsweredAt):
-		return notch.RunNotStarted, !session.starts.of(ref, s.now) // a stop binds the incarnation that confirmed it, and not the next one
+		return notch.RunNotStarted, !s.mayStartYet(session, ref, r) // a stop binds the incarnation that confirmed it, and not the next one
 	case orders.stopAnsweredAt == 0 && !requestedAt.Before(orders.startAnsweredAt) && s.mayOrder():
 		if s.repeatsStart(session, a, ref, orders) {
 			break
--- a/flow/openstarts.go
+++ b/flow/openstarts.go
@@ -10,12 +10,12 @@
 // out yet. An order names the agent, and each incarnation takes it for its own.
 type openStart struct {
 	run       notch.RunRef
-	sentAt    notch.Time // when it was sent, or this leader was elected if a former one sent it
+	sentAt    notch.Time
 	lateUntil notch.Time // from then on it can't be carried out any more; zero: its call is under way
 	sole      bool       // no other copy was sent
 }
 
-// openStarts holds the open copies of starts to one agent. While there are any, no end on the agent is acknowledged: an
+// openStarts holds the open copies of starts that this leader sent to one agent. While there are any, no end on the agent is acknowledged: an
 // acknowledgement names positions, and the incarnation that carries out the start might forget the end of that run. It is
 // never modified.
 type openStarts []openStart
@@ -95,16 +95,15 @@
 	return slices.DeleteFunc(slices.Clone(o), f)
 }
 
-// formerOpenStarts returns the starts of the runs on an agent that former leaders may have sent shortly before this one
-// was elected.
-func (s *stepper) formerOpenStarts(load *agentLoad) openStarts {
-	var out openStarts
-	for _, r := range load.runs {
-		if s.mayBeLateFromFormerLeader(r.ref) {
-			out = append(out, openStart{run: r.ref, sentAt: s.now, lateUntil: s.leadership.Ready.Add(maxOrderLateness), sole: true})
-		}
+// mayStartYet reports whether a start of a run may be carried out yet, also by a later incarnation than that of a session:
+// one of this leader's, or of a former one shortly before this one was elected.
+func (s *stepper) mayStartYet(session agentSession, ref notch.RunRef, r notch.Run) bool {
+	if session.starts.of(ref, s.now) {
+		return true
 	}
-	return out
+	orders, _ := s.runOrders.Get(ref)
+	late := s.now.Before(s.leadership.Ready.Add(maxOrderLateness))
+	return late && !s.placedHere(r) && !orders.located() && s.mayBeLateFromFormerLeader(ref)
 }
 
 // putOpenStarts replaces the open starts in the session of an agent, and acknowledges the ends that have waited for the
--- a/flow/successor.go
+++ b/flow/successor.go
@@ -24,7 +24,7 @@
 	}
 	switch {
 	case r.Life != session.incarnation && !s.wasAsked(session, ref):
-		return session.lastAnsweredAt == 0 || session.starts.of(ref, s.now)
+		return session.lastAnsweredAt == 0 || s.mayStartYet(session, ref, r)
 	case !s.placedHere(r) && orders.startSentAt == 0:
 		return s.mayBeLateFromFormerLeader(ref)
 	}
