Runs on a host that is gone for good start elsewhere without a wait (LOST)

A start that got no answer may be carried out late by a next incarnation, whatever became of the agent, so its run waits for 15 s and the longest lease of 10 s. No time both is short enough for LOST and excludes a late start (TWICE). What was missing is a fact: that there is no host any more on which anything could be carried out.

An agent is one life of a host, and the list names hosts that are down as well. Two lists that were asked for after the agent was heard last, name the same hosts and lack its host, which lists have named for 10 s, prove that it is gone, if agents that answered since bear the lists out. Its runs are given up then, before its lease has expired: nothing runs there, and nothing will. Every replica reads the list when it learns of a new host, so that the next leader knows it. A list that is old, wrong, cut short or refused proves nothing, and the wait by time stays. An agent that leaves keeps its lease: its host may be taken off the list before it has ended. The log says what proved the end.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -183,7 +183,7 @@
 	cfg := engine.Config{
 		Self: self, Control: controlState(d.settings, self, id.Storage, id.Cluster), Lanes: laneStates(d.settings),
 		Clock: clock, Seed: rand.Uint64(), Link: d.link,
-		Agents: d.adapter.Agents(d.budget.Agents, clock), Sink: d.sink(),
+		Agents: d.adapter.Agents(d.budget.Agents, clock), Hosts: hostInventory(d.settings, d.adapter), Sink: d.sink(),
 	}
 	if d.journal != nil {
 		cfg.Journal = d.journal
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -31,6 +31,9 @@
 // protocol fetch their orders.
 func (ownAdapter) Agents(int, notch.Clock) notch.Agents { return nil }
 
+// Hosts implements front.ProtocolAdapter. The own protocol has no inventory of hosts.
+func (ownAdapter) Hosts(string) notch.HostInventory { return nil }
+
 // system implements notch.System, through which protocol adapters use the daemon.
 type system struct {
 	*engine.Engine
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -8,6 +8,7 @@
 	"tamaracknotch/claim"
 	"tamaracknotch/consensus"
 	"tamaracknotch/flow"
+	"tamaracknotch/front"
 	"tamaracknotch/gateway"
 	"tamaracknotch/member"
 	"tamaracknotch/order"
@@ -26,21 +27,38 @@
 	divider, _ := share.New(s.Share)
 	entryTiming := share.DefaultTiming
 	entryTiming.Lease = time.Duration(s.EntryLease)
-	agentTiming := flow.DefaultTiming
-	agentTiming.Lease, agentTiming.MaxLease = time.Duration(s.AgentLease), time.Duration(s.AgentMaxLease)
 	parts := []notch.Part{member.New(self, storage, cluster), gateway.New(self.Name)}
 	if self.Replica {
 		parts = append(parts, consensus.New(notch.Replica{Name: self.Name, Storage: storage}, consensus.WithTargetVoters(s.Replicas)))
 	}
 	parts = append(parts, table.New(), claim.New(), batch.New(batch.WithPolicy(batchPolicy(s))))
 	if self.Replica {
-		parts = append(parts, flow.New(self, flow.WithTiming(agentTiming)))
+		parts = append(parts, flow.New(self, flowOptions(s)...))
 		parts = append(parts, share.NewLeader(self.Name, share.WithDivider(divider), share.WithLeaderTiming(entryTiming)))
 	}
 	parts = append(parts, share.NewEntry(self, s.Lanes, share.WithEntryTiming(entryTiming)))
 	return notch.NewState(parts...)
 }
 
+// flowOptions returns what the part for workflows is built with.
+func flowOptions(s Settings) []flow.Option {
+	timing := flow.DefaultTiming
+	timing.Lease, timing.MaxLease = time.Duration(s.AgentLease), time.Duration(s.AgentMaxLease)
+	options := []flow.Option{flow.WithTiming(timing)}
+	if s.HostInventory != "" {
+		options = append(options, flow.WithHostInventory())
+	}
+	return options
+}
+
+// hostInventory returns the client of the inventory of hosts, or nil if there is none.
+func hostInventory(s Settings, adapter front.ProtocolAdapter) notch.HostInventory {
+	if s.HostInventory == "" {
+		return nil
+	}
+	return adapter.Hosts(s.HostInventory)
+}
+
 func batchPolicy(s Settings) batch.Policy {
 	p := batch.DefaultPolicy()
 	p.Order, _ = order.New(s.TaskOrder)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -39,6 +39,7 @@
 	EntryLease    Duration `arg:"--entry-lease,env:NOTCH_ENTRY_LEASE" default:"3s" help:"how long an entry serves without a message from the leader, and so the longest time until an edit is in force" placeholder:"DURATION"`
 	AgentLease    Duration `arg:"--agent-lease,env:NOTCH_AGENT_LEASE" default:"5s" help:"how long the tasks on a worker that takes orders keep running without a lease renewal from the leader" placeholder:"DURATION"`
 	AgentMaxLease Duration `arg:"--agent-max-lease,env:NOTCH_AGENT_MAX_LEASE" default:"10s" help:"the longest lease that a worker takes, as it shortens longer ones" placeholder:"DURATION"`
+	HostInventory string   `arg:"--host-inventory,env:NOTCH_HOST_INVENTORY" help:"address that lists the hosts that exist, for an adapter that can ask for them; empty: none" placeholder:"IP:PORT"`
 	DataDir       string   `arg:"--data-dir,env:NOTCH_DATA_DIR" help:"folder for the control state; makes this daemon a control replica once the pool control lists its name" placeholder:"FOLDER"`
 	Bootstrap     bool     `arg:"--bootstrap,env:NOTCH_BOOTSTRAP" help:"begin a new cluster if the data folder is empty; set it once and on one daemon only, or on several daemons with the same --join: the daemon whose address comes first in text order begins the cluster"`
 	RecoverAlone  bool     `arg:"--recover-alone,env:NOTCH_RECOVER_ALONE" help:"continue as the only control replica after the majority of the control replicas is lost for good"`
@@ -216,6 +217,7 @@
 	}
 	addresses := map[string]string{
 		"--listen": s.Listen, "--operators": s.Operators, "--link": s.Link, "--health": s.Health, "--metrics": s.Metrics,
+		"--host-inventory": s.HostInventory,
 	}
 	for flag, a := range addresses {
 		if a == "" {
@@ -250,6 +252,9 @@
 
 func (s Settings) checkChoices(fail func(string, any, string)) {
 	s.Policies.check(fail)
+	if s.HostInventory != "" && s.Protocol == OwnProtocol {
+		fail("--host-inventory", s.HostInventory, "needs a --face that can ask it")
+	}
 	checkName := checkOneOf(fail)
 	checkName("--log-format", s.LogFormat, []string{"text", "json"})
 	checkName("--log-level", s.LogLevel, []string{"error", "warn", "info", "debug"})
--- a/decisions_test.go
+++ b/decisions_test.go
@@ -16,6 +16,7 @@
 	decisionPackages = []string{
 		".", "consensus", "table", "claim", "batch", "gateway", "member", "share", "traffic",
 		"pick", "queue", "retry", "order", "place", "interference", "flow", "graph", "lease", "colocation", "assign",
+		"inventory",
 	}
 	forbiddenImports = []string{
 		"net", "net/http", "os", "encoding/json", "github.com/fxamacker/cbor/v2", "github.com/coder/websocket",
--- a/effect.go
+++ b/effect.go
@@ -76,6 +76,9 @@
 	SendBy  Time // when the permission to send it ends; zero: it doesn't end
 }
 
+// ListHosts asks the inventory for the hosts that exist. The outcome arrives as a HostsListed event.
+type ListHosts struct{ Timeout time.Duration }
+
 // AnswerAgent completes an announcement of an agent; the announced state is in
 // force. Next is the operators' address of the daemon that the agent should call
 // from now on; empty if none is known.
@@ -188,6 +191,7 @@
 func (AnswerWorker) effect() {}
 func (AnswerQuery) effect()  {}
 func (CallAgent) effect()    {}
+func (ListHosts) effect()    {}
 func (AnswerAgent) effect()  {}
 func (ToLanes) effect()      {}
 func (ToControl) effect()    {}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -38,8 +38,9 @@
 	Clock   notch.Clock
 	Seed    uint64
 	Link    notch.Link
-	Journal notch.Journal // nil if the daemon has no data folder
-	Agents  notch.Agents  // nil if the protocol sends no orders to agents
+	Journal notch.Journal       // nil if the daemon has no data folder
+	Agents  notch.Agents        // nil if the protocol sends no orders to agents
+	Hosts   notch.HostInventory // nil if there is none
 	Sink    Sink
 }
 
@@ -120,6 +121,8 @@
 		e.answer(f.Ticket, f)
 	case notch.CallAgent:
 		e.callAgent(f)
+	case notch.ListHosts:
+		e.listHosts(f)
 	case notch.ToLanes:
 		e.postToLanes(f.Body)
 	case notch.PlanMade:
@@ -146,6 +149,22 @@
 	}()
 }
 
+// listHosts asks the inventory on a separate goroutine and posts the outcome.
+func (e *Engine) listHosts(f notch.ListHosts) {
+	if e.cfg.Hosts == nil {
+		return
+	}
+	asked := e.cfg.Clock.Now()
+	go func() {
+		hosts, err := e.cfg.Hosts.Hosts(f.Timeout)
+		listed := notch.HostsListed{AskedAt: asked, ReceivedAt: e.cfg.Clock.Now(), Hosts: hosts}
+		if err != nil {
+			listed.Failure = err.Error()
+		}
+		e.Post(listed)
+	}()
+}
+
 // The names of the metrics of calls to agents.
 const (
 	metricCallsUnderWay  = "agent-calls-under-way"
@@ -330,6 +349,9 @@
 	if e.cfg.Agents != nil {
 		e.cfg.Agents.Close()
 	}
+	if e.cfg.Hosts != nil {
+		e.cfg.Hosts.Close()
+	}
 }
 
 // Dump returns the state of the parts of every loop, without parts that don't
--- a/event.go
+++ b/event.go
@@ -192,6 +192,14 @@
 	Answer     AgentAnswer
 }
 
+// HostsListed is the outcome of a ListHosts. A host that exists and is down is listed as well.
+type HostsListed struct {
+	AskedAt    Time // before the first call
+	ReceivedAt Time
+	Hosts      []string // names of all hosts, in no order
+	Failure    string   // why there is no list; empty: there is one
+}
+
 // TablesCommitted reports that the replicated log has set a revision of the tables.
 // It occurs on replicas only.
 type TablesCommitted struct{ Tables Tables }
@@ -309,6 +317,7 @@
 func (Leadership) body()         {}
 func (AgentAnnounced) body()     {}
 func (AgentAnswered) body()      {}
+func (HostsListed) body()        {}
 func (TablesCommitted) body()    {}
 func (TablesInForce) body()      {}
 func (TablesReceived) body()     {}
--- a/fake/agent.go
+++ b/fake/agent.go
@@ -79,6 +79,10 @@
 func (s *Testbed) AddAgent(a notch.Agent, runTime func(notch.TaskRef) time.Duration) *Agent {
 	x := &Agent{Agent: a, RunTime: runTime}
 	s.Agents[a.ID] = x
+	if s.Inventory != nil {
+		x.Host = hostOf(a.ID)
+		s.addHost(x.Host)
+	}
 	s.StartAgent(x)
 	return x
 }
--- a/fake/fake.go
+++ b/fake/fake.go
@@ -52,6 +52,7 @@
 	Backends    map[string]*Backend
 	Workers     map[string]*Worker
 	Agents      map[string]*Agent
+	Inventory   *Inventory // nil: there is none
 	Counters    map[string]int64
 	LogMessages []string
 	// OnPublish is called for every task whose results are published.
@@ -118,7 +119,11 @@
 	}
 	parts = append(parts, table.New(), claim.New(), batch.New(batch.WithPolicy(s.Policies.Batch)))
 	if self.Replica {
-		parts = append(parts, flow.New(self, flow.WithTiming(s.Policies.Flow), flow.WithPolicy(s.Policies.Workflows)))
+		options := []flow.Option{flow.WithTiming(s.Policies.Flow), flow.WithPolicy(s.Policies.Workflows)}
+		if s.Inventory != nil {
+			options = append(options, flow.WithHostInventory())
+		}
+		parts = append(parts, flow.New(self, options...))
 		parts = append(parts, share.NewLeader(self.Name, share.WithDivider(s.Policies.Divider)))
 	}
 	parts = append(parts, share.NewEntry(self, 1))
@@ -145,6 +150,8 @@
 		s.completeCall(f.Ticket, f)
 	case notch.CallAgent:
 		s.sendOrder(n, f)
+	case notch.ListHosts:
+		s.listHosts(n, f)
 	case notch.AnswerAgent:
 		s.completeCall(f.Ticket, f)
 	case notch.Dispatch:
--- a/fake/reborn_test.go
+++ b/fake/reborn_test.go
@@ -151,12 +151,17 @@
 	}
 }
 
-// run plays the disruptions, and checks at the end that all workflows have ended and their ends are acknowledged.
+// run plays the disruptions, and checks the end of the workflows.
 func (r *rebornTest) run(t *testing.T) {
 	r.submitSome(6 * time.Second)
 	for range rebornDisruptions {
 		r.submitSome(r.disrupt() + r.between(0, 5*time.Second))
 	}
+	r.end(t)
+}
+
+// end lets all workflows end, and checks that they have, and that their ends are acknowledged.
+func (r *rebornTest) end(t *testing.T) {
 	for _, a := range r.agents {
 		a.LateShare = 0
 	}
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -145,6 +145,7 @@
 		a.Draining = a.Draining || old.Draining
 	}
 	s.agents = s.agents.Set(a.ID, &a)
+	s.missesHost = s.missesHost || a.Host != "" && !s.hostLists.HasNamed(a.Host)
 	before := s.holdAddress(a)
 	if !ok || old.Born != a.Born {
 		s.successorAdmitted(a.ID, at)
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -20,6 +20,7 @@
 	"tamaracknotch/assign"
 	"tamaracknotch/colocation"
 	"tamaracknotch/graph"
+	"tamaracknotch/inventory"
 )
 
 // Timing holds the durations of leases and decisions.
@@ -81,6 +82,8 @@
 type config struct {
 	timing Timing
 	policy Policy
+
+	hasInventory bool // it can be asked which hosts exist
 }
 
 // Part is the state of workflows and agents on one replica.
@@ -107,6 +110,9 @@
 	// Learned from the replicated log, with the times at which this replica applied it:
 	agentClocks *immutable.Map[string, agentClock] // by agent
 
+	hostLists  inventory.Lists // that this replica has read, whether it leads or not
+	missesHost bool            // an agent may be known whose host no list has named
+
 	leaveAnswers []leaveAnswer // that wait, on every replica that applied the leave message; never modified in place
 
 	// Known to the leader only:
@@ -167,6 +173,7 @@
 	p.suspectedTasks = immutable.NewMap[string, []notch.TaskRef](nil)
 	p.ended = immutable.NewList[string]()
 	p.agentClocks = immutable.NewMap[string, agentClock](nil)
+	p.missesHost = true
 	return p
 }
 
@@ -218,11 +225,13 @@
 	case notch.AgentAnswered:
 		s.orderAnswered(b)
 		s.limitStarted(b)
+	case notch.HostsListed:
+		s.hostsListed(b)
 	case notch.QueryReceived:
 		s.answerQuery(b)
 	case notch.Tick:
 		s.answerLeaves()
-		s.tick()
+		s.askForHosts(s.tick())
 		// The plan waits for the flush after the queued events. Ticks go before these, so plans at
 		// ticks that took longer than a tick would leave them no time.
 		s.needsPlan = true
@@ -240,7 +249,7 @@
 	case notch.Flush:
 		return p.planDue(e.At)
 	case notch.Restored, notch.TablesCommitted, notch.LeaderChanged, notch.Leadership, notch.PeerUp, notch.PeerDown,
-		notch.AgentAnnounced, notch.AgentAnswered, notch.QueryReceived, notch.Tick:
+		notch.AgentAnnounced, notch.AgentAnswered, notch.HostsListed, notch.QueryReceived, notch.Tick:
 		return true
 	}
 	return false
@@ -271,6 +280,7 @@
 	unixMilli int64 // Unix time in ms
 	seed      uint64
 	out       []notch.Effect
+	listsTrue *bool // what listsAreTrue found out in this step; nil: nothing yet
 }
 
 func (s *stepper) emit(b notch.Body) { s.out = append(s.out, notch.Emit{Body: b}) }
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -9,10 +9,10 @@
 )
 
 // tick renews the leases that are due and abandons the runs of agents whose leases have
-// expired.
-func (s *stepper) tick() {
+// expired. It reports whether runs wait for an agent that is silent.
+func (s *stepper) tick() (awaits bool) {
 	if !s.mayOrder() {
-		return
+		return false
 	}
 	s.sendStarts()
 	s.logQueuedStarts()
@@ -22,6 +22,7 @@
 			continue // most agents: they answer, and a renewal is under way or isn't due
 		}
 		load := s.load(id)
+		awaits = awaits || len(load.runs) > 0 && session.unanswered > 0
 		if len(load.runs) > 0 && s.now.Sub(session.endsProposedAt) >= s.timing.ReproposeInterval {
 			s.abandonRuns(id, *session, load.runs)
 		}
@@ -34,18 +35,19 @@
 			s.renewLease(id)
 		}
 	}
+	return awaits
 }
 
-// abandonRuns ends the runs of an agent that doesn't answer, once its leases have expired. Nothing
-// else proves their end: an agent that sent its leave message, or whose address refuses connections,
-// may run on until then.
+// abandonRuns ends the runs of an agent that doesn't answer, once its leases have expired or it has provably ended. An
+// agent that sent its leave message, or whose address refuses connections, may run on until then.
 func (s *stepper) abandonRuns(id string, session agentSession, runs []agentRun) {
-	if session.unanswered == 0 || !session.lease.Expired(s.now) {
+	proof := s.hasEnded(session)
+	if session.unanswered == 0 || proof == "" && !session.lease.Expired(s.now) {
 		return
 	}
 	var abandoned []agentRun
 	for _, r := range runs {
-		if !s.mayRunOnSuccessor(session, r.ref) && !s.isQueued(r.ref) {
+		if (proof != "" || !s.mayRunOnSuccessor(session, r.ref)) && !s.isQueued(r.ref) {
 			abandoned = append(abandoned, r)
 		}
 	}
@@ -58,7 +60,7 @@
 	s.logMessage("gives up the runs of an agent", notch.TextField("agent", id), notch.TextField("why", string(notch.RunLeaseExpired)),
 		notch.IntField("runs", len(abandoned)), notch.IntField("not-listed", s.countUnlisted(abandoned)),
 		notch.TextField("last-grant", s.age(session.grantedAt)), notch.TextField("last-heard", s.age(session.heardAt)),
-		notch.TextField("left", strconv.FormatBool(a.Left)))
+		notch.TextField("left", strconv.FormatBool(a.Left)), notch.TextField("host", a.Host), notch.TextField("proof", proof))
 	slices.SortFunc(abandoned, func(a, b agentRun) int { return compareRunRefs(a.ref, b.ref) })
 	commonCause := sync.OnceValue(func() bool { return s.commonCause(a) })
 	var ends []notch.RunEnd
--- a/runner.go
+++ b/runner.go
@@ -1,5 +1,7 @@
 package notch
 
+import "time"
+
 // Journal stores a replica's log and snapshots on disk. Its methods are called
 // from one goroutine at a time. A write that failed may be repeated, unless the error
 // is ErrCorrupt: it has no effect before it succeeds.
@@ -36,6 +38,14 @@
 	Close() error
 }
 
+// HostInventory knows which hosts exist.
+type HostInventory interface {
+	// Hosts returns the names of all hosts that exist, also of those that are down. It waits for the whole list, at most
+	// for the timeout.
+	Hosts(timeout time.Duration) ([]string, error)
+	Close() error
+}
+
 // Clock supplies the time of events.
 type Clock interface {
 	// Now returns the current time.
--- a/script/step.go
+++ b/script/step.go
@@ -54,6 +54,7 @@
 	"share-leader": func() notch.Part { return share.NewLeader("a") },
 	"share-entry":  func() notch.Part { return share.NewEntry(stepDaemon, 1) },
 	"flow":         func() notch.Part { return flow.New(stepDaemon) },
+	"flow-hosts":   func() notch.Part { return flow.New(stepDaemon, flow.WithHostInventory()) },
 	"traffic":      func() notch.Part { return traffic.New(0, "north") },
 	"proposals":    func() notch.Part { return proposalLog{} },
 }
@@ -85,7 +86,7 @@
 	notch.CancelJobs{}, notch.RegisterWorker{}, notch.PlaceTasks{}, notch.ReportTasks{}, notch.ReleaseWorker{},
 	notch.StopTasks{}, notch.QuarantineWorker{}, notch.ChangeReplicas{}, notch.Proposal{},
 	notch.ReplaceTables{}, notch.SubmitWorkflow{}, notch.CancelWorkflow{}, notch.AdmitAgent{}, notch.PlaceRuns{}, notch.EndRuns{},
-	notch.AgentAnnounced{}, notch.AgentAnswered{}, notch.QueryReceived{}, notch.CommandSubmitted{}, notch.QuerySubmitted{}, notch.QueryReply{},
+	notch.AgentAnnounced{}, notch.AgentAnswered{}, notch.HostsListed{}, notch.QueryReceived{}, notch.CommandSubmitted{}, notch.QuerySubmitted{}, notch.QueryReply{},
 	notch.Applied{}, notch.Forward{}, notch.Outcome{}, notch.InstallSnapshot{}, notch.SnapshotSaved{}, notch.JournalFailing{}, notch.JournalRecovered{},
 )
 
