A new leader doesn't wait for the leases of agents that others have replaced on their hosts (LOST)

Cause: each new leader takes the leases that former ones may have granted as running for 8.1 s from its election on, also to agents that have ended. The first one would give the runs up 0.4 s after it is lost itself; the second one begins anew. Nobody asks what the next agent on the host proves: that the one before has ended, as an agent is one life of a host.

Change: the runs of a silent agent are given up at once if a later agent with the same host has answered with its lists an order that was sent after the first one was heard last, by this leader, and was known. An announcement alone proves nothing, as it may be old; nor does a refusal of the id at the address, which names nobody. Late starts name the former id, which the next agent refuses.

--- a/fake/crashlate_test.go
+++ b/fake/crashlate_test.go
@@ -50,6 +50,29 @@
 	})
 }
 
+// TestTasksOfRestartedHostsRunAgainSoon guards against jobs that have nothing running long after the end of the load (LOST), as
+// agents crash with it and come back under other ids, and each of two leaders that are elected meanwhile waits anew for
+// the leases of those that have ended.
+func TestTasksOfRestartedHostsRunAgainSoon(t *testing.T) {
+	playSeeds(t, *seeds/4, func(t *testing.T, seed uint64) {
+		r := newCrashLateTest(t, seed)
+		r.NameHosts()
+		r.submitSome(6 * time.Second)
+		for _, a := range r.agents[:lostAgents] {
+			a.NewID = true
+			r.After(r.between(0, 200*time.Millisecond), func() { r.crashAgent(a) })
+		}
+		crash := r.Now()
+		r.After(time.Second, r.killLeader)
+		r.After(8500*time.Millisecond, r.killLeader)
+		r.submitSome(500 * time.Millisecond)
+		r.checkRunAgain(t, r.Now(), crash)
+		for _, v := range r.Violations {
+			t.Error(v)
+		}
+	})
+}
+
 // newCrashLateTest returns a test with agents that fail no runs and whose hosts go dark when they crash.
 func newCrashLateTest(t *testing.T, seed uint64) *rebornTest {
 	r := newRebornTest(t, seed, rebornCase{MaxRestart: time.Second})
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -147,6 +147,7 @@
 	s.agents = s.agents.Set(a.ID, &a)
 	s.missesHost = s.missesHost || a.Host != "" && !s.hostLists.HasNamed(a.Host)
 	before := s.holdAddress(a)
+	s.holdHost(a)
 	if !ok || old.Born != a.Born {
 		s.successorAdmitted(a.ID, at)
 		if precedes(before, a.Incarnation()) {
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -104,6 +104,7 @@
 	queuedByRoute  *immutable.Map[string, int]                    // number of workflows that are queued, see isQueued
 	loads          *immutable.Map[string, *agentLoad]             // by agent
 	addressHolders *immutable.Map[string, notch.AgentIncarnation] // latest incarnation at each address
+	hostHolders    *immutable.Map[string, notch.AgentIncarnation] // latest incarnation on each host that has a name
 	suspectedTasks *immutable.Map[string, []notch.TaskRef]        // by agent that fell silent under them; tasks that were cleared since may be among them
 	ended          *immutable.List[string]                        // workflows in the order of their end
 
@@ -170,6 +171,7 @@
 	p.queuedByRoute = immutable.NewMap[string, int](nil)
 	p.loads = immutable.NewMap[string, *agentLoad](nil)
 	p.addressHolders = immutable.NewMap[string, notch.AgentIncarnation](nil)
+	p.hostHolders = immutable.NewMap[string, notch.AgentIncarnation](nil)
 	p.suspectedTasks = immutable.NewMap[string, []notch.TaskRef](nil)
 	p.ended = immutable.NewList[string]()
 	p.agentClocks = immutable.NewMap[string, agentClock](nil)
--- a/flow/hosts.go
+++ b/flow/hosts.go
@@ -41,14 +41,17 @@
 }
 
 // hasEnded reports whether the incarnation of a silent agent provably runs nothing any more, and no order to it can be
-// carried out any more: its host is gone.
+// carried out any more: its host is gone, or another agent lives on it.
 func (s *stepper) hasEnded(session agentSession) (proof string) {
 	if session.unanswered == 0 {
 		return ""
 	}
 	a, _ := s.agent(session.incarnation.Agent)
-	if s.hostIsGone(a, session) {
+	switch {
+	case s.hostIsGone(a, session):
 		return "its host is gone"
+	case s.hostHasNext(a, session):
+		return "another agent lives on its host"
 	}
 	return ""
 }
@@ -64,6 +67,25 @@
 	return s.hostLists.Lacks(a.Host, lastSignOf(session), s.now) && s.listsAreTrue()
 }
 
+// hostHasNext reports whether another agent has answered from the host of an agent, since that one was last there. A host
+// has one agent at a time, and the next one refuses orders that name another.
+func (s *stepper) hostHasNext(a notch.Agent, session agentSession) bool {
+	holder, known := s.hostHolders.Get(a.Host)
+	if !known || holder.Agent == a.ID || !precedes(session.incarnation, holder) {
+		return false
+	}
+	next, _ := s.session(holder.Agent)
+	return next.incarnation == holder && !next.aliveAt.Before(lastSignOf(session)) && next.aliveAt != 0
+}
+
+// holdHost records the latest agent on a host.
+func (s *stepper) holdHost(a notch.Agent) {
+	before, ok := s.hostHolders.Get(a.Host)
+	if a.Host != "" && (!ok || precedes(before, a.Incarnation())) {
+		s.hostHolders = s.hostHolders.Set(a.Host, a.Incarnation())
+	}
+}
+
 // listsAreTrue reports whether the agents bear the lists of hosts out: the latest one names the hosts of all agents that
 // have answered since. An old list, or one of other hosts, doesn't.
 func (s *stepper) listsAreTrue() bool {
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -138,8 +138,11 @@
 		return session
 	}
 	session.heardAt = s.receivedAt(b)
-	if listsOf(session.incarnation, b) && b.Answer.Clock != 0 {
-		session.lease = session.lease.WithClock(b.Answer.Clock, session.heardAt)
+	if listsOf(session.incarnation, b) {
+		session.aliveAt = max(session.aliveAt, b.SentAt)
+		if b.Answer.Clock != 0 {
+			session.lease = session.lease.WithClock(b.Answer.Clock, session.heardAt)
+		}
 	}
 	if b.Order.Kind != notch.AgentRenew { // renewalAnswered puts it back
 		s.putSession(b.Life.Agent, session)
--- a/flow/session.go
+++ b/flow/session.go
@@ -36,6 +36,7 @@
 	ackToken              uint64          // of the renewal under way, if it acknowledges ends; 0: it doesn't
 	starts                openStarts      // to this incarnation and to earlier ones
 	heardAt               notch.Time      // when the agent last answered an order, whichever incarnation of it did
+	aliveAt               notch.Time      // when the latest order was sent that this incarnation answered with its lists; zero: none
 }
 
 // agent returns what an agent announced about itself, or false if it isn't known.
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -34,6 +34,7 @@
 		for _, a := range workflows.Agents {
 			s.agents = s.agents.Set(a.ID, &a)
 			s.holdAddress(a)
+			s.holdHost(a)
 		}
 		var ended []*graph.Workflow
 		for _, r := range workflows.Flows {
