--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -168,10 +168,13 @@
 		Operators:   addressOf(d.operators),
 		Incarnation: uint64(time.Now().UnixNano()), Replica: d.settings.DataDir != "",
 	}
+	hosts, err := hostInventory(d.settings, d.adapter)
+	if err != nil {
+		return err
+	}
 	var id wal.Identity
 	var recovered *notch.Recovered
 	if self.Replica {
-		var err error
 		if id, recovered, err = d.openData(self); err != nil {
 			return err
 		}
@@ -181,9 +184,9 @@
 	d.link = link.New([]byte(d.settings.LinkKey), hello, post, link.WithObserver(newLinkMeter(d.sink()).observe))
 	clock := newClock()
 	cfg := engine.Config{
-		Self: self, Control: controlState(d.settings, self, id.Storage, id.Cluster), Lanes: laneStates(d.settings),
+		Self: self, Control: controlState(d.settings, self, id.Storage, id.Cluster, hosts != nil), Lanes: laneStates(d.settings),
 		Clock: clock, Seed: rand.Uint64(), Link: d.link,
-		Agents: d.adapter.Agents(d.budget.Agents, clock), Hosts: hostInventory(d.settings, d.adapter), Sink: d.sink(),
+		Agents: d.adapter.Agents(d.budget.Agents, clock), Hosts: hosts, Sink: d.sink(),
 	}
 	if d.journal != nil {
 		cfg.Journal = d.journal
@@ -192,8 +195,6 @@
 	return nil
 }
 
-func (d *Daemon) sink() sink { return sink{registry: d.registry, log: d.log, daemon: d.settings.Name} }
-
 // openData opens the data folder and returns its identity and content. If this
 // daemon bootstraps the cluster, it first writes the initial log to an empty folder.
 func (d *Daemon) openData(self notch.Daemon) (wal.Identity, *notch.Recovered, error) {
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -81,3 +81,5 @@
 
 // UnixMilli implements notch.Clock.
 func (systemClock) UnixMilli() int64 { return time.Now().UnixMilli() }
+
+func (d *Daemon) sink() sink { return sink{registry: d.registry, log: d.log, daemon: d.settings.Name} }
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -32,7 +32,7 @@
 func (ownAdapter) Agents(int, notch.Clock) notch.Agents { return nil }
 
 // Hosts implements front.ProtocolAdapter. The own protocol has no inventory of hosts.
-func (ownAdapter) Hosts(string) notch.HostInventory { return nil }
+func (ownAdapter) Hosts(string) (notch.HostInventory, error) { return nil, nil }
 
 // system implements notch.System, through which protocol adapters use the daemon.
 type system struct {
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	notch "tamaracknotch"
 	"tamaracknotch/batch"
 	"tamaracknotch/claim"
@@ -23,7 +25,7 @@
 
 // controlState returns the state of the control loop. A daemon without a data folder
 // has no consensus part; it learns the state in force from the leader's messages.
-func controlState(s Settings, self notch.Daemon, storage, cluster uint64) notch.State {
+func controlState(s Settings, self notch.Daemon, storage, cluster uint64, hasInventory bool) notch.State {
 	divider, _ := share.New(s.Share)
 	entryTiming := share.DefaultTiming
 	entryTiming.Lease = time.Duration(s.EntryLease)
@@ -33,7 +35,7 @@
 	}
 	parts = append(parts, table.New(), claim.New(), batch.New(batch.WithPolicy(batchPolicy(s))))
 	if self.Replica {
-		parts = append(parts, flow.New(self, flowOptions(s)...))
+		parts = append(parts, flow.New(self, flowOptions(s, hasInventory)...))
 		parts = append(parts, share.NewLeader(self.Name, share.WithDivider(divider), share.WithLeaderTiming(entryTiming)))
 	}
 	parts = append(parts, share.NewEntry(self, s.Lanes, share.WithEntryTiming(entryTiming)))
@@ -41,22 +43,23 @@
 }
 
 // flowOptions returns what the part for workflows is built with.
-func flowOptions(s Settings) []flow.Option {
+func flowOptions(s Settings, hasInventory bool) []flow.Option {
 	timing := flow.DefaultTiming
 	timing.Lease, timing.MaxLease = time.Duration(s.AgentLease), time.Duration(s.AgentMaxLease)
 	options := []flow.Option{flow.WithTiming(timing)}
-	if s.HostInventory != "" {
+	if hasInventory {
 		options = append(options, flow.WithHostInventory())
 	}
 	return options
 }
 
 // hostInventory returns the client of the inventory of hosts, or nil if there is none.
-func hostInventory(s Settings, adapter front.ProtocolAdapter) notch.HostInventory {
+func hostInventory(s Settings, adapter front.ProtocolAdapter) (notch.HostInventory, error) {
 	if s.HostInventory == "" {
-		return nil
+		return nil, nil
 	}
-	return adapter.Hosts(s.HostInventory)
+	hosts, err := adapter.Hosts(s.HostInventory)
+	return hosts, errors.Wrap(err, "settings: --host-inventory")
 }
 
 func batchPolicy(s Settings) batch.Policy {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -217,7 +217,6 @@
 	}
 	addresses := map[string]string{
 		"--listen": s.Listen, "--operators": s.Operators, "--link": s.Link, "--health": s.Health, "--metrics": s.Metrics,
-		"--host-inventory": s.HostInventory,
 	}
 	for flag, a := range addresses {
 		if a == "" {
--- a/front/adapter.go
+++ b/front/adapter.go
@@ -17,6 +17,7 @@
 	// Agents returns the client that sends orders to agents, or nil if the protocol
 	// sends no orders. It has at most the given number of connections open.
 	Agents(connections int, clock notch.Clock) notch.Agents
-	// Hosts returns the client of the inventory of hosts at an address, or nil if the protocol has none.
-	Hosts(address string) notch.HostInventory
+	// Hosts returns the client of the inventory of hosts at an address, or nil if there is none. The error tells what is
+	// wrong with the address.
+	Hosts(address string) (notch.HostInventory, error)
 }
