--- a/fake/losthosts_test.go
+++ b/fake/losthosts_test.go
@@ -16,13 +16,16 @@
 )
 
 // TestRandomWorkflowsLostHosts guards against tasks that run twice because the inventory of hosts is old, doesn't answer, or is
-// read while hosts come and go. Agents restart under their ids and are cut off as in TestRandomWorkflowsReborn, and others are lost
-// for good with their hosts, and replaced.
+// read while hosts come and go, or because another agent on a host is taken for proof of the end of one that runs on. Agents restart
+// under their ids or others and are cut off as in TestRandomWorkflowsReborn, and others are lost for good with their hosts, and replaced.
 func TestRandomWorkflowsLostHosts(t *testing.T) {
 	playSeeds(t, *seeds/8, func(t *testing.T, seed uint64) {
 		r := newRebornTest(t, seed, rebornCase{MaxRestart: 4 * time.Second, LateShare: lostHostsOrderLate})
 		r.UseInventory()
 		r.Run(15 * time.Second)
+		for i, a := range r.agents {
+			a.NewID = i%2 == 0
+		}
 		r.changeInventory()
 		r.submitSome(6 * time.Second)
 		for range rebornDisruptions {
@@ -62,7 +65,7 @@
 // newAgent adds an agent like the others, under a new id.
 func (r *rebornTest) newAgent() *Agent {
 	a := r.addAgent(len(r.Agents))
-	a.RunTime, a.LateShare = r.runTime, r.LateShare
+	a.RunTime, a.LateShare, a.NewID = r.runTime, r.LateShare, r.Rand.IntN(2) == 0
 	a.Fails = func(ref notch.RunRef) bool { return ref.Task.Index%4 == 3 && r.Rand.IntN(2) == 0 }
 	return a
 }
--- a/fake/reborn_test.go
+++ b/fake/reborn_test.go
@@ -104,6 +104,9 @@
 	r.KillAgent(a)
 	restart, oneWay, fails := r.between(0, r.MaxRestart), r.between(0, maxOneWayCut), r.Rand.IntN(3) == 0
 	r.After(restart, func() {
+		if a.NewID {
+			r.renameAgent(a)
+		}
 		r.StartAgent(a)
 		r.logEvent(a, "starts with clock %v, announces itself %v later", a.ClockStart, a.FirstReport)
 	})
