A new host is looked up in the inventory at once, whatever became of the calls before

Cause, by reading: a host that no list names (it went before the first one) or a platform that rejects calls makes the pauses between calls grow to 32 s, and a host that comes then would be named late, and count as unproved for 10 s more. Change: its admission ends the long pause.

Tests: TestDue has the case; without the change it isn't due for 32 s.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -145,7 +145,9 @@
 		a.Draining = a.Draining || old.Draining
 	}
 	s.agents = s.agents.Set(a.ID, &a)
-	s.missesHost = s.missesHost || a.Host != "" && !s.hostLists.HasNamed(a.Host)
+	if a.Host != "" && a.Host != old.Host && !s.hostLists.HasNamed(a.Host) {
+		s.missesHost, s.hostLists = true, s.hostLists.WithNewHost()
+	}
 	before := s.holdAddress(a)
 	s.holdHost(a)
 	if !ok || old.Born != a.Born {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -64,6 +64,12 @@
 	return l
 }
 
+// WithNewHost returns l after another host has become known. It need not wait as long as those that lists haven't named.
+func (l Lists) WithNewHost() Lists {
+	l.fruitless = 0
+	return l
+}
+
 // WithOutcome returns l after the outcome of a call. Missed reports whether a host is missed that no list has named yet.
 func (l Lists) WithOutcome(b notch.HostsListed, missed func(l Lists) bool) Lists {
 	l.underWay = false
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -76,6 +76,7 @@
 		{"an urgent one", failing, time.Second, true, true},
 		{"another one, after many failures", failing, 20 * time.Second, false, false},
 		{"another one, long after many failures", failing, 32 * time.Second, false, true},
+		{"for a new host, after many failures", failing.WithNewHost(), time.Second, false, true},
 		{"while a call is under way", fresh.WithCall(now), 3 * time.Second, true, false},
 		{"when the outcome of a call is lost", fresh.WithCall(now), 4 * time.Second, true, true},
 	} {
