Long lists of hosts are read less often

Change: 2 ms of pause for each host, one second at least: each second up to 500 hosts, each 3.6 s with 1,800 of them. Two lists still prove a loss well within the 14 s of LOST.

Tests: TestDue.

--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -14,11 +14,12 @@
 
 // The timing of lists.
 const (
-	Timeout   = 3 * time.Second  // of a call for a list, all its parts included
-	pause     = time.Second      // between the beginnings of two calls
-	maxPauses = 32               // that a call waits for after others brought nothing, in units of pause
-	maxAge    = 5 * time.Second  // of the latest list, from which on it proves nothing
-	settled   = 10 * time.Second // that a host must have been known for, as a list that is older than those before lacks it too
+	Timeout   = 3 * time.Second      // of a call for a list, all its parts included
+	minPause  = time.Second          // between the beginnings of two calls
+	hostPause = 2 * time.Millisecond // the same, for each host of a long list
+	maxPauses = 32                   // that a call waits for after others brought nothing, in units of the pause
+	maxAge    = 5 * time.Second      // of the latest list, from which on it proves nothing
+	settled   = 10 * time.Second     // that a host must have been known for, as a list that is older than those before lacks it too
 )
 
 // Lists holds what the lists of hosts have told so far. It is never modified. The zero value has seen no list.
@@ -49,10 +50,11 @@
 		return true
 	}
 	since := now.Sub(l.askedAt)
-	if l.underWay {
-		return since >= Timeout+pause // its outcome is lost
-	}
-	if urgent {
+	pause := max(minPause, hostPause*time.Duration(len(l.latest.hosts)))
+	switch {
+	case l.underWay:
+		return since >= Timeout+minPause // its outcome is lost
+	case urgent:
 		return since >= pause
 	}
 	return since >= pause*time.Duration(min(1<<min(l.fruitless, 16), maxPauses))
@@ -73,7 +75,7 @@
 // WithOutcome returns l after the outcome of a call. Missed reports whether a host is missed that no list has named yet.
 func (l Lists) WithOutcome(b notch.HostsListed, missed func(l Lists) bool) Lists {
 	l.underWay = false
-	if b.Failure != "" || b.AskedAt.Before(l.latest.askedAt) || b.ReceivedAt.Sub(b.AskedAt) > Timeout+pause {
+	if b.Failure != "" || b.AskedAt.Before(l.latest.askedAt) || b.ReceivedAt.Sub(b.AskedAt) > Timeout+minPause {
 		l.fruitless++
 		return l
 	}
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -64,6 +65,11 @@
 	for range 20 {
 		failing = failing.WithCall(now).WithOutcome(failed, none)
 	}
+	var hosts []string
+	for i := range 2000 {
+		hosts = append(hosts, strconv.Itoa(i))
+	}
+	long := fresh.WithCall(now).WithOutcome(notch.HostsListed{AskedAt: now, ReceivedAt: now, Hosts: hosts}, none)
 	for _, c := range []struct {
 		name   string
 		lists  inventory.Lists
@@ -77,6 +83,8 @@
 		{"another one, after many failures", failing, 20 * time.Second, false, false},
 		{"another one, long after many failures", failing, 32 * time.Second, false, true},
 		{"for a new host, after many failures", failing.WithNewHost(), time.Second, false, true},
+		{"an urgent one, soon after a long list", long, 3900 * time.Millisecond, true, false},
+		{"an urgent one, after a long list", long, 4 * time.Second, true, true},
 		{"while a call is under way", fresh.WithCall(now), 3 * time.Second, true, false},
 		{"when the outcome of a call is lost", fresh.WithCall(now), 4 * time.Second, true, true},
 	} {
