--- a/workflow.go
+++ b/workflow.go
@@ -94,7 +94,7 @@
 	Born     int64
 	Pool     string
 	Address  string // IP number and port
-	Host     string
+	Host     string // that it lives on, which has one agent at a time; empty: not known
 	Domain   string
 	Rack     string
 	Labels   []string
