The log tells which runs are waited for, on what, and until when

Now each run whose task waits for more than 3 s is named once for each reason, with the age of its start, of its placement, of the stop and of the last lease, and with the end of the wait if that is known. At most 40 lines a second; the rest is counted. flow-wait-log shows both the agent that answers and the silent one.

--- a/flow/flow.go
+++ b/flow/flow.go
@@ -129,6 +129,7 @@
 	startWaits           startWaits
 	outcomes             outcomes
 	startsLoggedAt       notch.Time
+	waitLog              waitLog
 	starvationLoggedAt   notch.Time
 	cpuLimitsByRun       *immutable.Map[notch.RunRef, cpuLimit]
 	colocations          *immutable.Map[string, colocationState] // by agent
--- a/flow/missing.go
+++ b/flow/missing.go
@@ -28,12 +28,14 @@
 		}
 		if listsTask(b.Answer, ref.Task) {
 			undecided = true // the task may not start elsewhere before the other run has been stopped
+			s.logWait(session, ref, waitsForOtherRun, 0)
 			continue
 		}
 		suspicion := sync.OnceValue(func() notch.Suspicion { return s.suspicionAfter(session, run, commonCause) })
 		kind, ended := s.decideMissingRun(session, a, ref, r, b, suspicion)
 		if !ended {
 			undecided = undecided || !s.isStoppedHere(ref)
+			s.logMissingWait(session, ref, r)
 			continue
 		}
 		s.noteProposedEnd(ref, kind)
--- a/flow/session.go
+++ b/flow/session.go
@@ -32,6 +32,7 @@
 	forgottenUpTo         uint64          // the agent has answered an acknowledgement of the ends up to this position
 	noRunsBefore          notch.Time      // no new runs are placed before then
 	endsProposedAt        notch.Time      // when the ends of abandoned runs were last proposed
+	waitsLoggedAt         notch.Time      // when it was last looked which of its runs are waited for
 	grantedAt             notch.Time      // when the last order was sent that grants a lease, to this or an earlier incarnation; by former leaders: when this one was elected
 	ackToken              uint64          // of the renewal under way, if it acknowledges ends; 0: it doesn't
 	starts                openStarts      // to this incarnation and to earlier ones
@@ -85,6 +86,7 @@
 	stopped         bool                   // a stop was sent
 	stopSentAt      notch.Time             // zero: no stop is under way
 	stopAnsweredAt  notch.Time             // when a stop was confirmed; zero: none was
+	waitLogged      waitReason             // the latest reason that was logged why the run is waited for; empty: none was
 }
 
 // located reports whether the run was carried out by the incarnation that it was placed on.
--- a/flow/tick.go
+++ b/flow/tick.go
@@ -41,8 +41,14 @@
 // abandonRuns ends the runs of an agent that doesn't answer, once its leases have expired or it has provably ended. An
 // agent that sent its leave message, or whose address refuses connections, may run on until then.
 func (s *stepper) abandonRuns(id string, session agentSession, runs []agentRun) {
+	if session.unanswered == 0 {
+		return
+	}
 	proof := s.hasEnded(session)
-	if session.unanswered == 0 || proof == "" && !session.lease.Expired(s.now) {
+	if proof == "" {
+		session = s.logSilentWaits(session, runs)
+	}
+	if proof == "" && !session.lease.Expired(s.now) {
 		return
 	}
 	var abandoned []agentRun
