--- a/command.go
+++ b/command.go
@@ -151,6 +151,8 @@
 type PlaceRuns struct {
 	Token      uint64
 	Placements []RunPlacement
+
+	Renewed []RunRef `cbor:",omitempty"` // runs whose placements are renewed, see Run.RenewedAt
 }
 
 // EndRuns records the ends of runs on one incarnation of an agent. Once it is
--- a/flow/apply.go
+++ b/flow/apply.go
@@ -164,7 +164,10 @@
 // an agent has room only decides whether the start is queued: replicas of an earlier build don't check
 // it, and all replicas must derive the same state from an entry.
 func (s *stepper) placeRuns(c notch.PlaceRuns, at notch.Time) {
-	s.placementsProposedAt = 0
+	if len(c.Placements) > 0 {
+		s.placementsProposedAt = 0
+	}
+	s.renewPlacements(c.Renewed, c.Token, at)
 	// The tasks of a workflow mostly follow one another, so it is put back once for all of them.
 	var w *graph.Workflow
 	for _, pl := range c.Placements {
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -283,7 +283,8 @@
 	unixMilli int64 // Unix time in ms
 	seed      uint64
 	out       []notch.Effect
-	listsTrue *bool // what listsAreTrue found out in this step; nil: nothing yet
+	toRenew   []notch.RunRef // placements whose renewal is due
+	listsTrue *bool          // what listsAreTrue found out in this step; nil: nothing yet
 }
 
 func (s *stepper) emit(b notch.Body) { s.out = append(s.out, notch.Emit{Body: b}) }
--- a/flow/load.go
+++ b/flow/load.go
@@ -22,6 +22,7 @@
 	stage     *notch.Stage // never modified; of a throttled run, with the processors that it counts on
 	throttled bool
 	addedAt   notch.Time // when this replica applied the placement
+	renewedAt notch.Time // when this replica last applied a renewal of the placement; zero: never
 }
 
 // withRun returns l with one more run.
@@ -35,7 +36,7 @@
 
 // withoutRun returns l without a run.
 func (l agentLoad) withoutRun(ref notch.RunRef) agentLoad {
-	i := slices.IndexFunc(l.runs, func(r agentRun) bool { return r.ref == ref })
+	i := l.index(ref)
 	if i < 0 {
 		return l
 	}
@@ -85,13 +86,30 @@
 	return nil
 }
 
-// placedAt returns when this replica applied the placement of a run; zero if it isn't on the agent.
+// placedAt returns when this replica applied the placement of a run, or the latest renewal of it; zero if the run isn't on the
+// agent.
 func (l agentLoad) placedAt(ref notch.RunRef) notch.Time {
-	i := slices.IndexFunc(l.runs, func(r agentRun) bool { return r.ref == ref })
+	i := l.index(ref)
 	if i < 0 {
 		return 0
 	}
-	return l.runs[i].addedAt
+	return max(l.runs[i].addedAt, l.runs[i].renewedAt)
+}
+
+// withRenewed returns l after the placement of a run was renewed.
+func (l agentLoad) withRenewed(ref notch.RunRef, at notch.Time) agentLoad {
+	i := l.index(ref)
+	if i < 0 {
+		return l
+	}
+	l.runs = slices.Clone(l.runs)
+	l.runs[i].renewedAt = at
+	return l
+}
+
+// index returns the index of a run, or -1 if it isn't on the agent.
+func (l agentLoad) index(ref notch.RunRef) int {
+	return slices.IndexFunc(l.runs, func(r agentRun) bool { return r.ref == ref })
 }
 
 // hasServiceTask reports whether a service task runs on the agent.
--- a/flow/missing.go
+++ b/flow/missing.go
@@ -50,6 +50,7 @@
 		out = append(out, end)
 		s.logMessage("run given up: its agent doesn't list it", append(runFields(ref, a.ID, string(kind)), s.proofFields(session, ref)...)...)
 	}
+	s.proposeRenewals()
 	return out, undecided
 }
 
@@ -85,11 +86,14 @@
 		return "", false
 	}
 	if !s.placedHere(r) && orders.startSentAt == 0 {
-		if !s.mayOrder() || s.repeatsStart(session, a, ref, orders) {
-			return "", false
-		}
 		// The agent has seen this leader's token, so a start with an older one can't take effect on this incarnation.
-		return notch.RunNotStarted, !s.mayBeLateFromFormerLeader(ref) || !s.now.Before(s.leadership.Ready.Add(maxOrderLateness))
+		if !s.mayStartYet(session, ref, r) {
+			return notch.RunNotStarted, true
+		}
+		if s.mayOrder() {
+			s.repeatsStart(session, a, ref, orders)
+		}
+		return "", false
 	}
 	switch {
 	case orders.startOutcome == notch.AgentOK && !requestedAt.Before(orders.startAnsweredAt):
--- a/flow/openstarts.go
+++ b/flow/openstarts.go
@@ -102,8 +102,7 @@
 		return true
 	}
 	orders, _ := s.runOrders.Get(ref)
-	late := s.now.Before(s.leadership.Ready.Add(maxOrderLateness))
-	return late && !s.placedHere(r) && !orders.located() && s.mayBeLateFromFormerLeader(ref)
+	return !s.placedHere(r) && !orders.located() && s.now.Before(s.formerCopiesEnd(ref))
 }
 
 // putOpenStarts replaces the open starts in the session of an agent, and acknowledges the ends that have waited for the
--- a/flow/repeat.go
+++ b/flow/repeat.go
@@ -6,9 +6,6 @@
 	notch "tamaracknotch"
 )
 
-// maxStartRepeats is how often a start without an answer is sent again before the run is stopped instead.
-const maxStartRepeats = 3
-
 // minRepeatLease is the least time that the agent's lease must still last for a repeated start.
 const minRepeatLease = time.Second
 
@@ -26,11 +23,20 @@
 }
 
 // sendsCopy sends the start of a run once more, or will after the next list, for the reason given. It returns false if
-// that has been done often enough, or the agent can't take the run.
+// the agent has left too many of them unanswered, or can't take the run.
 func (s *stepper) sendsCopy(session agentSession, a notch.Agent, ref notch.RunRef, orders runOrders, why string) bool {
-	if orders.repeats >= maxStartRepeats || a.Draining || a.Left || !s.stillFits(session, a, ref) {
+	r, _ := s.run(ref)
+	repeatedLong := orders.startSentAt != 0 && s.now.Sub(orders.startSentAt) >= maxTimeToRepeat
+	if repeatedLong || a.Draining || a.Left || !s.stillFits(a, ref) {
 		return false
 	}
+	if session.hasStrays {
+		return true // they are being stopped
+	}
+	if !s.mayStillSend(r) {
+		s.renewsPlacement(ref)
+		return true
+	}
 	deadline := session.lease.GrantedUntil() // the order grants no lease of its own
 	if deadline < session.lease.Deadline(s.now, minRepeatLease) {
 		return true // the next list comes after a renewal
@@ -56,18 +62,14 @@
 
 // stillFits reports whether an agent has room for the runs that are placed on it, among them the given one. A former
 // leader may have placed it there without sending the start, as it didn't fit.
-func (s *stepper) stillFits(session agentSession, a notch.Agent, ref notch.RunRef) bool {
+func (s *stepper) stillFits(a notch.Agent, ref notch.RunRef) bool {
 	load, st := s.load(a.ID), s.stageOf(ref)
-	fits := load.reserved.Fits(a.Size) && (st.PerAgent == 0 || load.countGroup(groupOf(ref.Task)) <= st.PerAgent)
-	return fits && !session.hasStrays
+	return load.reserved.Fits(a.Size) && (st.PerAgent == 0 || load.countGroup(groupOf(ref.Task)) <= st.PerAgent)
 }
 
 // repeatNotStarted records that a repeated start wasn't carried out. If the agent refused it, it may have carried out
 // another copy, whose run has ended since, so its lists decide.
 func (s *stepper) repeatNotStarted(ref notch.RunRef, orders runOrders) {
-	if orders.startOutcome == notch.AgentRefused {
-		orders.repeats = maxStartRepeats
-	}
 	orders.startOutcome = notch.AgentNoAnswer
 	s.runOrders = s.runOrders.Set(ref, orders)
 }
--- a/flow/sendstarts.go
+++ b/flow/sendstarts.go
@@ -80,6 +80,10 @@
 		s.withdrawRun(noLongerAccepts, ref, r)
 		return
 	}
+	if !s.mayStillSend(r) {
+		s.withdrawRun("it was placed too long ago", ref, r)
+		return
+	}
 	if !mayOvertakeAck(session) {
 		s.withdrawRun(noLongerAccepts, ref, r)
 		return
--- a/flow/session.go
+++ b/flow/session.go
@@ -86,6 +86,7 @@
 	stopped         bool                   // a stop was sent
 	stopSentAt      notch.Time             // zero: no stop is under way
 	stopAnsweredAt  notch.Time             // when a stop was confirmed; zero: none was
+	renewedAt       notch.Time             // when the renewal of its placement was last proposed; zero: never
 	waitLogged      waitReason             // the latest reason that was logged why the run is waited for; empty: none was
 }
 
--- a/flow/starthere.go
+++ b/flow/starthere.go
@@ -29,6 +29,10 @@
 	case a.Pool != s.poolOf(w).Name || !takesLabel(a, w.Stage(ref.Task.Stage).Label):
 		return
 	}
+	if r, _ := s.run(ref); !s.mayStillSend(r) {
+		s.renewsPlacement(ref)
+		return
+	}
 	orders.askedOf, orders.repeats = session.incarnation, 0
 	s.sendsCopy(session, a, ref, orders, "start sent to the next incarnation: an earlier one may still be carried out")
 }
--- a/flow/successor.go
+++ b/flow/successor.go
@@ -41,20 +41,26 @@
 // mayBeLateFromFormerLeader reports whether the start of a run that a former leader placed may have been under way
 // when this one was elected.
 func (s *stepper) mayBeLateFromFormerLeader(ref notch.RunRef) bool {
+	return s.leadership.Ready.Before(s.formerCopiesEnd(ref))
+}
+
+// formerCopiesEnd returns when no copy of the start of a run that a former leader sent can be carried out any more; zero if
+// none can.
+func (s *stepper) formerCopiesEnd(ref notch.RunRef) notch.Time {
 	r, _ := s.run(ref)
 	if r.Located {
-		return false
+		return 0
 	}
 	// A replica that has just started applies old placements late, and the clock of a former leader may have been behind.
-	placedAt := min(s.load(r.Life.Agent).placedAt(ref), r.Since.Add(maxClockDifference))
-	sentUntil := placedAt.Add(maxTimeToSend)
-	return s.leadership.Ready.Before(sentUntil.Add(maxOrderLateness))
+	placedAt := min(s.load(r.Life.Agent).placedAt(ref), r.SentSince().Add(maxClockDifference))
+	sentUntil := min(placedAt.Add(maxTimeToSend), s.leadership.Ready)
+	return sentUntil.Add(maxOrderLateness)
 }
 
 // maxClockDifference limits how far the clocks of successive leaders are apart.
 const maxClockDifference = 5 * time.Second
 
-// maxTimeToSend limits how long after its run was placed a start is sent, or sent again.
+// maxTimeToSend limits how long after its run was placed, or the placement was renewed, a start is sent, or sent again.
 const maxTimeToSend = 10 * time.Second
 
 // addressTaken reports whether a later agent with another id has the address of an incarnation. It refuses orders that
--- a/flow/waits.go
+++ b/flow/waits.go
@@ -106,13 +106,16 @@
 		s.logWait(session, ref, waitsForAnswer, 0)
 		return
 	}
-	s.logWait(session, ref, waitsForLateCopy, s.lateCopiesEnd(session, ref))
+	s.logWait(session, ref, waitsForLateCopy, s.lateCopiesEnd(session, ref, r))
 }
 
 // lateCopiesEnd returns when no copy of the start of a run can be late any more, of those that this leader knows of or a
 // former one may have sent.
-func (s *stepper) lateCopiesEnd(session agentSession, ref notch.RunRef) notch.Time {
-	end := s.leadership.Ready.Add(maxOrderLateness)
+func (s *stepper) lateCopiesEnd(session agentSession, ref notch.RunRef, r notch.Run) notch.Time {
+	var end notch.Time
+	if !s.placedHere(r) {
+		end = s.formerCopiesEnd(ref)
+	}
 	for _, c := range session.starts {
 		if c.run == ref {
 			end = max(end, c.sentAt.Add(maxOrderLateness))
--- a/workflow.go
+++ b/workflow.go
@@ -1,6 +1,7 @@
 package notch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -120,11 +121,22 @@
 	// Throttled is true for an opportunistic run that counts on ThrottledPercent of its declared processors only.
 	Throttled bool `cbor:",omitempty"`
 
+	// RenewedAt and RenewedBy tell when the placement was last renewed, by the clock of the leader that proposed it, and that
+	// leader's fencing token; zero: it wasn't. From then on only that leader sends copies of the start.
+	RenewedAt Time   `cbor:",omitempty"`
+	RenewedBy uint64 `cbor:",omitempty"`
+
 	// Located is true once the leader that placed a long-running run knows that its only start was carried out by the
 	// incarnation that it was placed on.
 	Located bool `cbor:",omitempty"`
 }
 
+// SentBy returns the fencing token of the leader that may send copies of the start.
+func (r Run) SentBy() uint64 { return cmp.Or(r.RenewedBy, r.Token) }
+
+// SentSince returns when the run was placed, or when its placement was last renewed.
+func (r Run) SentSince() Time { return max(r.Since, r.RenewedAt) }
+
 // RunEndKind is the way in which a run ended.
 type RunEndKind string
 
@@ -323,6 +335,17 @@
 	return t
 }
 
+// WithRenewed returns t after the placement of the numbered run was renewed, if it has that run.
+func (t WorkflowTask) WithRenewed(number, token uint64, at Time) WorkflowTask {
+	t.Runs = slices.Clone(t.Runs)
+	for i := range t.Runs {
+		if t.Runs[i].Number == number {
+			t.Runs[i].RenewedAt, t.Runs[i].RenewedBy = at, token
+		}
+	}
+	return t
+}
+
 // WithoutRun returns t without the numbered run.
 func (t WorkflowTask) WithoutRun(number uint64) WorkflowTask {
 	t.Runs = slices.DeleteFunc(slices.Clone(t.Runs), func(r Run) bool { return r.Number == number })
