--- a/fake/reborn_test.go
+++ b/fake/reborn_test.go
@@ -95,14 +95,22 @@
 	return r.MaxRestart + toCut + maxOneWayCut + cut
 }
 
-// restartAndCut crashes an agent, which comes back soon, and cuts it off for a while. Then it runs on.
+// restartAndCut crashes an agent, which comes back soon, and cuts it off for a while. Then it runs on. Once in three times,
+// its runs fail meanwhile.
 func (r *rebornTest) restartAndCut(a *Agent, toCut, cut time.Duration) {
+	restart := r.restartSoon(a)
+	oneWay, fails := r.between(0, maxOneWayCut), r.Rand.IntN(3) == 0
+	r.cutLater(a, restart+toCut, oneWay, cut, fails)
+}
+
+// restartSoon crashes an agent, which comes back soon. It returns how long that takes.
+func (r *rebornTest) restartSoon(a *Agent) time.Duration {
 	a.Dark = r.Rand.IntN(2) == 0
 	a.ClockStart = r.nextClock(a)
 	a.FirstReport = r.between(0, maxFirstReport)
 	r.logEvent(a, "crashes, dark=%v", a.Dark)
 	r.KillAgent(a)
-	restart, oneWay, fails := r.between(0, r.MaxRestart), r.between(0, maxOneWayCut), r.Rand.IntN(3) == 0
+	restart := r.between(0, r.MaxRestart)
 	r.After(restart, func() {
 		if a.NewID {
 			r.renameAgent(a)
@@ -110,15 +118,20 @@
 		r.StartAgent(a)
 		r.logEvent(a, "starts with clock %v, announces itself %v later", a.ClockStart, a.FirstReport)
 	})
-	r.After(restart+toCut, func() {
+	return restart
+}
+
+// cutLater cuts an agent off for a while. Its answers are lost first, oneWay before its orders are.
+func (r *rebornTest) cutLater(a *Agent, after, oneWay, cut time.Duration, fails bool) {
+	r.After(after, func() {
 		a.AnswersLost = true
 		r.logEvent(a, "answers are lost")
 	})
-	r.After(restart+toCut+oneWay, func() {
+	r.After(after+oneWay, func() {
 		a.CutOff, a.Broken = true, fails
 		r.logEvent(a, "is cut off, runs fail=%v", fails)
 	})
-	r.After(restart+toCut+oneWay+cut, func() {
+	r.After(after+oneWay+cut, func() {
 		a.CutOff, a.AnswersLost, a.Broken = false, false, false
 		r.logEvent(a, "is connected again")
 	})
