--- a/fake/reborn_test.go
+++ b/fake/reborn_test.go
@@ -23,6 +23,7 @@
 	MaxRestart time.Duration        `yaml:"max-restart"` // from a crash to the next incarnation
 	LateShare  float64              `yaml:"late-share"`  // of the orders that are carried out late
 	LateKind   notch.AgentOrderKind `yaml:"late-kind"`   // the only kind of orders that are late; empty: each kind
+	TwoKills   bool                 `yaml:"two-kills"`   // two leaders are killed after each crash
 	Seeds      []uint64             // on which a rule was broken
 	Share      int                  // of the seeds of a test, one in so many is played
 }
@@ -39,6 +40,8 @@
 	maxCutTime         = 12 * time.Second
 	maxClockLead       = 20 * time.Second // of the next incarnation's clock
 	maxTimeToKill      = 14 * time.Second // from the crash of the agents to that of the leader
+	minTimeToNextKill  = 5 * time.Second  // from that one to the kill of the next leader
+	maxTimeToNextKill  = 9 * time.Second
 	minLongRunTime     = 10 * time.Second // beyond a lease
 	maxLongRunTime     = 25 * time.Second
 	meanShortRunTime   = 1500 * time.Millisecond
@@ -81,15 +84,21 @@
 	}
 }
 
-// disrupt restarts some agents and cuts them off, and kills the leader meanwhile once in two times. It
-// returns how long this takes at most.
+// disrupt restarts some agents and cuts them off, and kills the leader meanwhile once in two times, or two
+// leaders. It returns how long this takes at most.
 func (r *rebornTest) disrupt() time.Duration {
 	r.Rand.Shuffle(len(r.agents), func(i, j int) { r.agents[i], r.agents[j] = r.agents[j], r.agents[i] })
 	toCut, cut := r.between(minTimeToCut, maxTimeToCut), r.between(minCutTime, maxCutTime)
 	for _, a := range r.agents[:2+r.Rand.IntN(maxDisruptedAgents-1)] {
 		r.restartAndCut(a, toCut, cut)
 	}
-	if r.Rand.IntN(2) == 0 {
+	switch {
+	case r.TwoKills:
+		r.After(r.between(0, maxTimeToKill), func() {
+			r.killLeader()
+			r.After(r.between(minTimeToNextKill, maxTimeToNextKill), r.killLeader)
+		})
+	case r.Rand.IntN(2) == 0:
 		r.After(r.between(0, maxTimeToKill), r.killLeader)
 	}
 	return r.MaxRestart + toCut + maxOneWayCut + cut
@@ -280,3 +289,7 @@
 // TestRandomWorkflowsRebornLateStops guards against tasks that run twice because a stop that is late was taken for
 // one of the next incarnation of an agent.
 func TestRandomWorkflowsRebornLateStops(t *testing.T) { testReborn(t, "late-stops") }
+
+// TestRandomWorkflowsRebornTwoKills guards against tasks that run twice because the next leaders don't know which starts and
+// stops former ones sent, and a late one is carried out by the next incarnation of an agent.
+func TestRandomWorkflowsRebornTwoKills(t *testing.T) { testReborn(t, "two-kills") }
