--- a/fake/reborn_test.go
+++ b/fake/reborn_test.go
@@ -23,6 +23,7 @@
 	MaxRestart time.Duration        `yaml:"max-restart"` // from a crash to the next incarnation
 	LateShare  float64              `yaml:"late-share"`  // of the orders that are carried out late
 	LateKind   notch.AgentOrderKind `yaml:"late-kind"`   // the only kind of orders that are late; empty: each kind
+	TwoKills   bool                 `yaml:"two-kills"`   // two leaders are killed after each crash
 	Seeds      []uint64             // on which a rule was broken
 	Share      int                  // of the seeds of a test, one in so many is played
 }
@@ -39,6 +40,8 @@
 	maxCutTime         = 12 * time.Second
 	maxClockLead       = 20 * time.Second // of the next incarnation's clock
 	maxTimeToKill      = 14 * time.Second // from the crash of the agents to that of the leader
+	minTimeToNextKill  = 5 * time.Second  // from that one to the kill of the next leader
+	maxTimeToNextKill  = 9 * time.Second
 	minLongRunTime     = 10 * time.Second // beyond a lease
 	maxLongRunTime     = 25 * time.Second
 	meanShortRunTime   = 1500 * time.Millisecond
@@ -81,28 +84,42 @@
 	}
 }
 
-// disrupt restarts some agents and cuts them off, and kills the leader meanwhile once in two times. It
-// returns how long this takes at most.
+// disrupt restarts some agents and cuts them off, and kills the leader meanwhile once in two times, or two
+// leaders. It returns how long this takes at most.
 func (r *rebornTest) disrupt() time.Duration {
 	r.Rand.Shuffle(len(r.agents), func(i, j int) { r.agents[i], r.agents[j] = r.agents[j], r.agents[i] })
 	toCut, cut := r.between(minTimeToCut, maxTimeToCut), r.between(minCutTime, maxCutTime)
 	for _, a := range r.agents[:2+r.Rand.IntN(maxDisruptedAgents-1)] {
 		r.restartAndCut(a, toCut, cut)
 	}
-	if r.Rand.IntN(2) == 0 {
+	switch {
+	case r.TwoKills:
+		r.After(r.between(0, maxTimeToKill), func() {
+			r.killLeader()
+			r.After(r.between(minTimeToNextKill, maxTimeToNextKill), r.killLeader)
+		})
+	case r.Rand.IntN(2) == 0:
 		r.After(r.between(0, maxTimeToKill), r.killLeader)
 	}
 	return r.MaxRestart + toCut + maxOneWayCut + cut
 }
 
-// restartAndCut crashes an agent, which comes back soon, and cuts it off for a while. Then it runs on.
+// restartAndCut crashes an agent, which comes back soon, and cuts it off for a while. Then it runs on. Once in three times,
+// its runs fail meanwhile.
 func (r *rebornTest) restartAndCut(a *Agent, toCut, cut time.Duration) {
+	restart := r.restartSoon(a)
+	oneWay, fails := r.between(0, maxOneWayCut), r.Rand.IntN(3) == 0
+	r.cutLater(a, restart+toCut, oneWay, cut, fails)
+}
+
+// restartSoon crashes an agent, which comes back soon. It returns how long that takes.
+func (r *rebornTest) restartSoon(a *Agent) time.Duration {
 	a.Dark = r.Rand.IntN(2) == 0
 	a.ClockStart = r.nextClock(a)
 	a.FirstReport = r.between(0, maxFirstReport)
 	r.logEvent(a, "crashes, dark=%v", a.Dark)
 	r.KillAgent(a)
-	restart, oneWay, fails := r.between(0, r.MaxRestart), r.between(0, maxOneWayCut), r.Rand.IntN(3) == 0
+	restart := r.between(0, r.MaxRestart)
 	r.After(restart, func() {
 		if a.NewID {
 			r.renameAgent(a)
@@ -110,15 +127,20 @@
 		r.StartAgent(a)
 		r.logEvent(a, "starts with clock %v, announces itself %v later", a.ClockStart, a.FirstReport)
 	})
-	r.After(restart+toCut, func() {
+	return restart
+}
+
+// cutLater cuts an agent off for a while. Its answers are lost first, oneWay before its orders are.
+func (r *rebornTest) cutLater(a *Agent, after, oneWay, cut time.Duration, fails bool) {
+	r.After(after, func() {
 		a.AnswersLost = true
 		r.logEvent(a, "answers are lost")
 	})
-	r.After(restart+toCut+oneWay, func() {
+	r.After(after+oneWay, func() {
 		a.CutOff, a.Broken = true, fails
 		r.logEvent(a, "is cut off, runs fail=%v", fails)
 	})
-	r.After(restart+toCut+oneWay+cut, func() {
+	r.After(after+oneWay+cut, func() {
 		a.CutOff, a.AnswersLost, a.Broken = false, false, false
 		r.logEvent(a, "is connected again")
 	})
@@ -267,3 +289,7 @@
 // TestRandomWorkflowsRebornLateStops guards against tasks that run twice because a stop that is late was taken for
 // one of the next incarnation of an agent.
 func TestRandomWorkflowsRebornLateStops(t *testing.T) { testReborn(t, "late-stops") }
+
+// TestRandomWorkflowsRebornTwoKills guards against tasks that run twice because the next leaders don't know which starts and
+// stops former ones sent, and a late one is carried out by the next incarnation of an agent.
+func TestRandomWorkflowsRebornTwoKills(t *testing.T) { testReborn(t, "two-kills") }
