A new leader knows from the log which starts had several copies (TWICE)

A task ran twice, or again after it was done: a former leader had repeated the start of its run, the next one took the listed run for located, or acknowledged its end at once, the agent crashed, and its next incarnation carried out a late copy.

Cause: which copies are open is known to the leader that sent them only. Now the placement is renewed beside the first repeat, so the log tells that there are several copies, and how old the last one may be.

Left: a record that isn't committed before its leader is lost; an end that is committed while copies are open, of which the next run is placed elsewhere at once.

--- a/flow/apply.go
+++ b/flow/apply.go
@@ -283,6 +283,7 @@
 	if !ok || r.Life.Agent != incarnation.Agent {
 		return
 	}
+	s.noteLateCopies(e.Run, r)
 	s.removeRun(incarnation.Agent, e.Run)
 	s.runOrders = s.runOrders.Delete(e.Run)
 	s.cpuLimitsByRun = s.cpuLimitsByRun.Delete(e.Run)
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -110,6 +110,7 @@
 
 	// Learned from the replicated log, with the times at which this replica applied it:
 	agentClocks *immutable.Map[string, agentClock] // by agent
+	lateCopies  *immutable.Map[string, lateCopies] // by agent; the latest of each
 
 	hostLists  inventory.Lists // that this replica has read, whether it leads or not
 	missesHost bool            // an agent may be known whose host no list has named
@@ -176,6 +177,7 @@
 	p.suspectedTasks = immutable.NewMap[string, []notch.TaskRef](nil)
 	p.ended = immutable.NewList[string]()
 	p.agentClocks = immutable.NewMap[string, agentClock](nil)
+	p.lateCopies = immutable.NewMap[string, lateCopies](nil)
 	p.missesHost = true
 	return p
 }
--- a/flow/openstarts.go
+++ b/flow/openstarts.go
@@ -102,7 +102,8 @@
 		return true
 	}
 	orders, _ := s.runOrders.Get(ref)
-	return !s.placedHere(r) && !orders.located() && s.now.Before(s.formerCopiesEnd(ref))
+	mayBeOpen := !orders.located() || s.wasRepeatedBefore(r)
+	return !s.placedHere(r) && mayBeOpen && s.now.Before(s.formerCopiesEnd(ref))
 }
 
 // putOpenStarts replaces the open starts in the session of an agent, and acknowledges the ends that have waited for the
@@ -126,7 +127,7 @@
 	if session.committedUpTo <= session.forgottenUpTo {
 		return false
 	}
-	return session.starts.any(s.now) || session.mayAckUpTo() < session.committedUpTo
+	return session.starts.any(s.now) || s.hasFormerCopies(session) || session.mayAckUpTo() < session.committedUpTo
 }
 
 // mayAckUpTo returns the position up to which ends are committed and no start of a former leader forbids to acknowledge them.
@@ -144,13 +145,18 @@
 		return 0
 	}
 	for _, l := range listed {
-		t, _ := s.task(l.End.Run.Task)
-		for _, r := range t.Runs {
-			ref := notch.RunRef{Task: l.End.Run.Task, Number: r.Number}
-			if r.Life.Agent == session.incarnation.Agent && ref != l.End.Run && s.mayStartYet(session, ref, r) {
-				return l.N
-			}
+		if s.hasEarlierLateRun(session, l.End.Run) {
+			return l.N
 		}
 	}
 	return 0
 }
+
+// hasEarlierLateRun reports whether a start of another run of the task of a run may be carried out on the agent of a session.
+func (s *stepper) hasEarlierLateRun(session agentSession, run notch.RunRef) bool {
+	t, _ := s.task(run.Task)
+	return slices.ContainsFunc(t.Runs, func(r notch.Run) bool {
+		ref := notch.RunRef{Task: run.Task, Number: r.Number}
+		return r.Life.Agent == session.incarnation.Agent && ref != run && s.mayStartYet(session, ref, r)
+	})
+}
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -35,7 +35,7 @@
 		// leases of an agent that is gone would never expire. If the agent restarts meanwhile, its
 		// next incarnation would take the acknowledgement for one of its own ends.
 		o.Deadline = session.lease.Deadline(s.now, s.leaseFor(o.Wait))
-		if !session.missesRuns && !session.starts.any(s.now) && session.mayAckUpTo() > session.forgottenUpTo {
+		if !session.missesRuns && !session.starts.any(s.now) && !s.hasFormerCopies(session) && session.mayAckUpTo() > session.forgottenUpTo {
 			o.Ack = session.mayAckUpTo()
 		}
 	}
--- a/flow/repeat.go
+++ b/flow/repeat.go
@@ -57,6 +57,9 @@
 	s.sendOrder(a, notch.AgentOrder{
 		Kind: notch.AgentStart, Token: session.token, Run: ref, Spec: w.Flow.Spec, Checkpoint: t.Saved, Deadline: deadline,
 	})
+	if r.RenewedBy != s.leadership.Term {
+		s.renewsPlacement(ref) // tells the next leader that there are several copies
+	}
 	return true
 }
 
@@ -84,7 +87,12 @@
 	return orders.stopAnsweredAt != 0
 }
 
-// hasLateCopy reports whether a copy of the start of a run may still be carried out, although another one was.
-func (s *stepper) hasLateCopy(orders runOrders) bool {
-	return orders.repeats > 0 && s.now.Before(orders.repeatedAt.Add(maxOrderLateness+s.timing.MaxLease))
+// hasLateCopy reports whether a copy of the start of a run may still be carried out, or what it started may still be live,
+// although another one was carried out.
+func (s *stepper) hasLateCopy(ref notch.RunRef, r notch.Run, orders runOrders) bool {
+	own := orders.repeats > 0 && s.now.Before(orders.repeatedAt.Add(maxOrderLateness+s.timing.MaxLease))
+	return own || s.wasRepeatedBefore(r) && s.now.Before(s.formerCopiesEnd(ref).Add(s.timing.MaxLease))
 }
+
+// wasRepeatedBefore reports whether several copies of the start of a run were sent, some of them by former leaders.
+func (s *stepper) wasRepeatedBefore(r notch.Run) bool { return r.RenewedAt != 0 && !s.placedHere(r) }
--- a/flow/successor.go
+++ b/flow/successor.go
@@ -16,7 +16,7 @@
 func (s *stepper) mayRunOnSuccessor(session agentSession, ref notch.RunRef) bool {
 	r, ok := s.run(ref)
 	orders, _ := s.runOrders.Get(ref)
-	if !ok || orders.located() && !s.hasLateCopy(orders) || s.addressTaken(session.incarnation) {
+	if !ok || orders.located() && !s.hasLateCopy(ref, r, orders) || s.addressTaken(session.incarnation) {
 		return false
 	}
 	if !s.now.Before(s.lateLeasesEnd(session)) {
