--- a/flow/nextrun.go
+++ b/flow/nextrun.go
@@ -5,8 +5,8 @@
 	"tamaracknotch/graph"
 )
 
-// placeNextHere places the next run of a task on the agent of a run that the present incarnation of the agent won't carry out
-// any more, but a later one may. The run is kept until no copy of its start can be late, so that the task isn't placed
+// placeNextHere places the next run of a task on the agent of a run that the present incarnation of the agent won't carry out,
+// as it has refused the run or has seen a higher token, but a later one may. The run is kept until no copy of its start can be late, so that the task isn't placed
 // elsewhere, also by a later leader. On the same agent the next run does no harm: if a later incarnation comes, the next run
 // has ended with the present one. This is for a number that the agent refuses; while it doesn't, its start is repeated, as
 // one number is carried out once.
@@ -17,7 +17,7 @@
 		return
 	}
 	t, _ := w.Task(ref.Task)
-	if r.Life != session.incarnation || !w.MayRun(t) || !isLatestLive(t, r) || !s.takesNext(session, a, w, ref) {
+	if !w.MayRun(t) || s.heldBack(t) || !isLatestLive(t, r) || !s.takesNext(session, a, w, ref) {
 		return
 	}
 	proposed := orders.nextProposedAt != 0
--- a/flow/renewplacement.go
+++ b/flow/renewplacement.go
@@ -69,10 +69,9 @@
 	if underWay || orders.listed || orders.stopped || orders.proposedEnd != "" {
 		return
 	}
-	a, _ := s.agent(r.Life.Agent)
 	if r.Life != session.incarnation && !s.wasAsked(session, ref) {
-		s.startsHere(session, a, ref)
-		return
+		return // the next list decides whether the incarnation may have it
 	}
+	a, _ := s.agent(r.Life.Agent)
 	s.repeatsStart(session, a, ref, orders)
 }
--- a/flow/repeat.go
+++ b/flow/repeat.go
@@ -30,8 +30,8 @@
 	if repeatedLong || a.Draining || a.Left || !s.stillFits(a, ref) {
 		return false
 	}
-	if session.hasStrays {
-		return true // they are being stopped
+	if session.hasStrays || orders.refusedAt != 0 && s.now.Sub(orders.refusedAt) < pauseAfterRefusal {
+		return true // strays are being stopped
 	}
 	if !s.mayStillSend(r) {
 		s.renewsPlacement(ref)
@@ -45,6 +45,7 @@
 	t, _ := w.Task(ref.Task)
 	s.logMessage(why, append(runFields(ref, a.ID, string(orders.startOutcome)), notch.IntField("repeats", orders.repeats+1))...)
 	orders.startOutcome, orders.repeats, orders.repeatedAt = "", orders.repeats+1, s.now
+	orders.brokenSentAt = 0 // the incarnation has listed its runs since
 	if orders.startSentAt == 0 {
 		orders.startSentAt = s.now
 	}
@@ -52,6 +53,7 @@
 	s.startsUnderWay = s.startsUnderWay.withSent(s.now)
 	s.count("starts-repeated", 1)
 	session, _ = s.session(a.ID)
+	session.grantedAt = s.now // the order has a deadline
 	session = s.withStartSent(session, ref, false)
 	s.putSession(a.ID, session)
 	s.sendOrder(a, notch.AgentOrder{
@@ -74,7 +76,7 @@
 // another copy, whose run has ended since, so its lists decide. A refusal as old has the effect of a confirmed stop.
 func (s *stepper) repeatNotStarted(b notch.AgentAnswered, orders runOrders) {
 	ref := b.Order.Run
-	orders.startOutcome = notch.AgentNoAnswer
+	orders.startOutcome, orders.refusedAt = notch.AgentNoAnswer, s.now
 	if b.Answer.Reason == notch.ReasonStaleRun && s.isFromKnown(b) {
 		orders.stopped, orders.refusedAsOld, orders.stopAnsweredAt = true, true, s.now
 	}
--- a/flow/session.go
+++ b/flow/session.go
@@ -87,6 +87,7 @@
 	stopped         bool                   // a stop was sent
 	stopSentAt      notch.Time             // zero: no stop is under way
 	stopAnsweredAt  notch.Time             // when a stop was confirmed; zero: none was
+	refusedAt       notch.Time             // when a repeated start was last answered and not carried out; zero: never
 	refusedAsOld    bool                   // the incarnation that it was placed on has refused its start as old
 	renewedAt       notch.Time             // when the renewal of its placement was last proposed; zero: never
 	nextProposedAt  notch.Time             // when the next run of its task was last proposed for its agent; zero: never
--- a/flow/starthere.go
+++ b/flow/starthere.go
@@ -22,6 +22,10 @@
 		return
 	case s.isSuperseded(a.ID, ref):
 		return // the task goes on as another run
+	case orders.refusedAsOld:
+		r, _ := s.run(ref)
+		s.placeNextHere(session, a, ref, r)
+		return
 	case orders.stopped:
 		return // the incarnation may have carried out the stop, and refuse the start because of that
 	case orders.askedOf != (notch.AgentIncarnation{}), orders.brokenSentAt != 0:
--- a/workflow.go
+++ b/workflow.go
@@ -135,7 +135,7 @@
 func (r Run) SentBy() uint64 { return cmp.Or(r.RenewedBy, r.Token) }
 
 // SentSince returns when the run was placed, or when its placement was last renewed.
-func (r Run) SentSince() Time { return max(r.Since, r.RenewedAt) }
+func (r Run) SentSince() Time { return cmp.Or(r.RenewedAt, r.Since) }
 
 // RunEndKind is the way in which a run ended.
 type RunEndKind string
